--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -98,7 +98,7 @@
             for number in list(m.out):
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
-                m.id, m.destination, m.class_name, m.due_us, None, m.tenant, m.attempts, m.ran_at_us,
+                m.id, m.destination, m.class_name, m.due_us, m.order_key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off))
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
@@ -179,7 +179,7 @@
             return
         self.arriving[handed.id] = (handed, door)
         door.left = lambda: self.withdrawn(handed.id)
-        self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, None,
+        self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, handed.order_key,
                             handed.tenant, handed.resent))
 
     def withdrawn(self, name: str) -> None:
@@ -253,7 +253,7 @@
                 self.turn_away(arriving.pop(a.message)[1], a)
         for handed, _ in arriving.values():
             self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
-                                  handed.key, handed.tenant, handed.body))
+                                  handed.key, handed.tenant, handed.body, handed.order_key))
         calls: list[i.CloseIdle | Call | i.Cancel] = []
         forming: dict[int, Call] = {}
         for a in actions:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -56,6 +56,8 @@
     destination: int
     due_us: int
     key: str | None
+    order_key: str | None
+    """Where its class keeps its order: those that share it go one at a time, as handed in."""
     tenant: str | None
     resent: bool
     body: bytes
@@ -87,11 +89,15 @@
         raise BadRequest(bad, "Idempotency-Key is malformed")
     if cls.effect is i.Effect.KEYED and not key:
         raise BadRequest(bad, "Idempotency-Key is missing")
+    order_key = h.get("x-session-key") if cls.in_order else None
+    if order_key is not None and (not 0 < len(order_key) <= 256 or not order_key.isascii()
+                                  or not order_key.isprintable()):
+        raise BadRequest(bad, "X-Session-Key is malformed")
     tenant = h.get("x-account")
     if settings.tenants and tenant not in {t.name for t in settings.tenants}:
         raise BadRequest(bad, "X-Account is missing or unknown")
-    return Handed(ident, cls.name, int(dest), request.came_us + int(left * 1_000_000), key, tenant,
-                  h.get("x-repeat") == "1", bytes(request.body))
+    return Handed(ident, cls.name, int(dest), request.came_us + int(left * 1_000_000), key, order_key,
+                  tenant, h.get("x-repeat") == "1", bytes(request.body))
 
 
 class Door(asyncio.Protocol):
@@ -182,7 +188,8 @@
                 return  # a trailer says nothing that counts here
             known = self.reading.headers
             low = name.decode("latin-1").lower()
-            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key"):
+            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key",
+                                         "x-session-key"):
                 self.reading.bad = BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
             known[low] = value.decode("latin-1").strip()
 
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -2,7 +2,8 @@
 
 Records are a length, a checksum and a payload: a line of JSON and, for a taken message, its body. A plain
 write is enough, since the files outlast the process without a sync. Kinds, by the first item of the line:
-  taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...]] + body
+  taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...],
+    order key] + body; journals of before the order key end before it
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
   over [id]; owed [id, state, after_ms], an end that the platform has not acknowledged; told [id]
   list [seq, hosts, source]: the last list and the discovery that told it, since `known` may be older than
@@ -44,6 +45,7 @@
     key: str | None
     tenant: str | None
     body: bytes
+    order_key: str | None = None
     attempts: int = 0
     ran_at_us: int = -1
     ran_on: str = ""
@@ -51,7 +53,7 @@
 
     @property
     def size(self) -> int:
-        return len(self.body) + len(self.id) + PER_MESSAGE
+        return len(self.body) + len(self.id) + len(self.order_key or "") + PER_MESSAGE
 
 
 class Store:
@@ -100,8 +102,9 @@
         self.size = at
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
-        name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out = rest
-        m = Taken(name, cls, destination, due, key, tenant, body, attempts, ran_at, ran_on,
+        name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out, *later = rest
+        m = Taken(name, cls, destination, due, key, tenant, body, later[0] if later else None,
+                  attempts, ran_at, ran_on,
                   {n: (at, host) for n, at, host in out})
         self.messages[m.id] = m
         self.live += m.size
@@ -196,7 +199,7 @@
     def _message(self, m: Taken) -> bytes:
         out = [[n, at, host] for n, (at, host) in m.out.items()]
         return _record(("taken", m.id, m.class_name, m.destination, m.due_us, m.key, m.tenant,
-                        m.attempts, m.ran_at_us, m.ran_on, out), m.body)
+                        m.attempts, m.ran_at_us, m.ran_on, out, m.order_key), m.body)
 
     def has_room(self, more: int) -> bool:
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -177,6 +177,8 @@
         {"name": "order", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "by_key",
          "key_scope": "all", "window_us": 30_000_000},
         {"name": "status", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "repeatable"},
+        {"name": "turns", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "repeatable",
+         "by_arrival": True},
         {"name": "pay", "aim_us": 2_000_000, "deadline_us": 60_000_000, "effect": "once"},
     ],
     "telemetry": {"fields": ["x0", "x1"], "how": "piggyback"}, "weight_source": "nominal",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -133,6 +133,39 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("restart", [False, True])
+def test_one_session_key_goes_one_by_one_also_across_a_restart(tmp_path: Path, restart: bool) -> None:
+    """The key was not read from the request: a later message overtook an earlier one of its key."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        done = asyncio.Event()
+        early: list[str] = []
+
+        async def slow(request: Any) -> Answer:
+            await done.wait()
+            return OK
+
+        async def quick(request: Any) -> Answer:
+            if not done.is_set():
+                early.append(request.headers["x-correlation-id"])
+            return OK
+        first = await target(platform, slow)
+        other = await target(platform, quick, "s2", block=8)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a", "turns", X_Session_Key="k"))[0] == 202
+        await first.got(1)
+        assert (await node.hand_in("b", "turns", dest=8, X_Session_Key="k"))[0] == 202
+        if restart:
+            await node.restart()
+            await first.got(2)
+        assert (await node.hand_in("c", "turns", dest=8, X_Session_Key="l"))[0] == 202
+        await other.got(1)
+        done.set()
+        await other.got(2)
+        assert early == ["c"]
+        assert [r.headers["x-correlation-id"] for r in other.requests] == ["c", "b"]
+    play(scene, tmp_path)
+
+
 def test_attempts_spent_before_a_restart_stay_spent(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await target(platform, hang)
@@ -389,6 +422,8 @@
     (b"what is this\r\n\r\n" + message("h"), 400),
     (b"CONNECT a:1 HTTP/1.1\r\n\r\n" + message("h"), 501),
     (message("m", dest="x"), 400),
+    (message("m", "turns", X_Session_Key=""), 400),
+    (message("m", "turns", X_Session_Key="a\r\nX-Session-Key: b"), 400),
     (message("m", Idempotency_Key=None), 400),
     (message("m", Content_Length="x"), 400),
     (message("m", dest=4_000_000_000), 503),
