--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -76,6 +76,8 @@
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
+        self.owed: dict[str, str] = {}
+        """The order key of each message whose final answer is still on its way."""
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed, self.absorbed = 0, 0, -1, 0
         self.round_calls: dict[int, Call] = {}
@@ -108,6 +110,12 @@
                     self.listed(event)
                 case i.Withdrawn() if event.message in self.messages:
                     self.over(self.messages[event.message])
+                case i.EndOwed():
+                    self.owe(event.message, event.key)
+                case i.EndTold() if event.message in self.owed:
+                    line = self.lines[self.owed.pop(event.message)]
+                    line.owed.discard(event.message)
+                    self.next_in(line)
         if THE_LIST in self.looks:
             self.actions.append(i.Subscribe())
         self.usual.clear()
@@ -202,7 +210,7 @@
 
     def next_in(self, line: Line) -> None:
         """The key's turn may have come to its next message, perhaps for another destination."""
-        if line.queue and not line.out:
+        if line.queue and not line.out and not line.owed:
             self.looks.add(line.queue[0].destination)
             self.agenda.add(max(self.now, line.rest_until), line.queue[0].destination)
 
@@ -211,8 +219,15 @@
         safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
             m.cls.effect is i.Effect.KEYED and m.cls.scope is i.Scope.ALL)
         self.actions.append(i.Refuse(m.id, self.retry_after(m)) if safe else i.Fail(m.id))
+        if m.key is not None and self.s.ends_told:
+            self.owe(m.id, m.key)
         self.over(m)
 
+    def owe(self, name: str, key: str) -> None:
+        """Rule 6: until its final answer has arrived, a message is not over for those behind it."""
+        self.owed[name] = key
+        self.lines.setdefault(key, Line()).owed.add(name)
+
     def retry_after(self, m: Message) -> int:
         """How long the client should stay away: until the destination's wait or rest is over."""
         ends = [max(t.place.wait_until, t.place.rest_until) for t in self.usable(m)]
@@ -238,7 +253,8 @@
         """The unsent drop: a held message whose time left is below its expected call is answered now."""
         if self.now - self.cleared_at >= SECOND:
             self.cleared_at = self.now
-            self.lines = {k: n for k, n in self.lines.items() if n.queue or n.out or n.rest_until > self.now}
+            self.lines = {k: n for k, n in self.lines.items()
+                          if n.queue or n.out or n.owed or n.rest_until > self.now}
         for destination in sorted(self.looks):
             for m in list(self.held.piles.get(destination, {}).values()):
                 if self.now >= self.drop_at(m) or not self.may_repeat(m):
@@ -447,7 +463,8 @@
             return False
         if m.key is not None:
             line = self.lines[m.key]
-            if line.queue[0] is not m or line.out or (self.now < line.rest_until and not m.attempts):
+            rests = self.now < line.rest_until and not m.attempts
+            if line.queue[0] is not m or line.out or line.owed or rests:
                 return False
         if t.failing > SURE_MARK and m.cls.effect is i.Effect.ONCE:
             return m.due - self.now < m.cls.deadline_us / 2 and self.room_at(t) <= self.now
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -118,6 +118,8 @@
     dial_timeout_us: int = 0
     conn_idle_us: int = 0
     """Idle connections are closed after this; 0 where none are kept or it is not known."""
+    ends_told: bool = False
+    """A final answer ends its message only once `EndTold` says so: it may be on its way for a while."""
 
     def __post_init__(self) -> None:
         def check(good: bool, name: str) -> None:
@@ -234,6 +236,21 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndOwed:
+    """A message of this order key had its final answer before a restart, and that is still on its way."""
+
+    message: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndTold:
+    """A final answer has arrived; only now is its message over for those behind it in its key."""
+
+    message: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: str
@@ -247,7 +264,8 @@
     report: LoadReport | None = None
 
 
-Event = Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | TimerDue | Probed
+Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | TimerDue
+         | Probed)
 
 
 # Actions
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -11,6 +11,7 @@
 
 from lemonshunt.net.config import Address, HostList, host_list
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
+from lemonshunt.net.store import Owed
 
 HOLD_MS = 20_000  # how long a watch waits for something newer
 LATE_S = 1.2  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after
@@ -154,7 +155,7 @@
 class Platform(Protocol):
     """Where owed ends are kept until they are acknowledged."""
 
-    def owed_ends(self) -> dict[str, tuple[str, int]]: ...
+    def owed_ends(self) -> dict[str, Owed]: ...
 
     def acknowledged(self, names: list[str]) -> None: ...
 
@@ -200,9 +201,9 @@
                 self.book.acknowledged([name for name, _ in owed])
 
 
-def line(owed: tuple[str, tuple[str, int]]) -> bytes:
-    name, (state, after_ms) = owed
-    told: dict[str, str | int] = {"id": name, "state": state}
-    if after_ms > 0:
-        told["after_ms"] = after_ms
+def line(owed: tuple[str, Owed]) -> bytes:
+    name, end = owed
+    told: dict[str, str | int] = {"id": name, "state": end.state}
+    if end.after_ms > 0:
+        told["after_ms"] = end.after_ms
     return json.dumps(told, separators=(",", ":")).encode() + b"\n"
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -20,7 +20,7 @@
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import Owed, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
 LISTEN_S = 1.0  # after SIGTERM new connections come for a while
@@ -53,7 +53,7 @@
 class Engine:
     def __init__(self, config: Config) -> None:
         self.config, self.clock = config, Clock()
-        s = config.settings
+        s = replace(config.settings, ends_told=True)
         self.store = Store(config.state, config.disk_bytes)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         self.server = Server(s, self.clock, 0, self.hand_in)
@@ -93,6 +93,8 @@
         for name, (since, back) in kept.outages.items():
             if name in self.numbers:
                 self.events.append(i.OutageRecalled(self.numbers[name], since, back))
+        self.events += [i.EndOwed(name, end.order_key) for name, end in kept.owed.items()
+                        if end.order_key is not None]
         for m in kept.messages.values():
             cut_off = bool(m.out)
             for number in list(m.out):
@@ -250,7 +252,10 @@
             actions = self.faulted(events, arriving)
         for a in actions:
             if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
-                self.turn_away(arriving.pop(a.message)[1], a)
+                handed, door = arriving.pop(a.message)
+                self.turn_away(door, a)
+                if handed.order_key is not None:
+                    self.post(i.EndTold(handed.id))  # by the answer itself
         for handed, _ in arriving.values():
             self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
                                   handed.key, handed.tenant, handed.body, handed.order_key))
@@ -376,12 +381,15 @@
 
     # Notices
 
-    def owed_ends(self) -> dict[str, tuple[str, int]]:
+    def owed_ends(self) -> dict[str, Owed]:
         return self.store.owed
 
     def acknowledged(self, names: list[str]) -> None:
         for name in names:
+            end = self.store.owed.get(name)
             self.store.told(name)
+            if end is not None and end.order_key is not None:
+                self.post(i.EndTold(name))
         self.store.flush()
 
     # A new configuration
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -5,7 +5,8 @@
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...],
     order key] + body; journals of before the order key end before it
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
-  over [id]; owed [id, state, after_ms], an end that the platform has not acknowledged; told [id]
+  over [id]; owed [id, state, after_ms, order key], an end that the platform has not acknowledged;
+    told [id]
   list [seq, hosts, source]: the last list and the discovery that told it, since `known` may be older than
     what this forwarder was told of drains
   outage [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too.
@@ -22,7 +23,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 21
@@ -56,6 +57,14 @@
         return len(self.body) + len(self.id) + len(self.order_key or "") + PER_MESSAGE
 
 
+class Owed(NamedTuple):
+    """An end that the platform has not acknowledged."""
+
+    state: str
+    after_ms: int
+    order_key: str | None = None
+
+
 class Store:
     """Appends are gathered; `flush` writes them, before anything that they precede leaves."""
 
@@ -63,7 +72,7 @@
         self.path, self.spare = folder / "journal", folder / "journal.new"
         self.most = most_bytes - 2 * BLOCK
         self.messages: dict[str, Taken] = {}
-        self.owed: dict[str, tuple[str, int]] = {}
+        self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.seq, self.source = -1, ""
@@ -134,7 +143,7 @@
 
     def _owed(self, rest: list[Any], body: bytes = b"") -> None:
         self._over(rest)
-        self.owed[rest[0]] = (rest[1], rest[2])
+        self.owed[rest[0]] = Owed(*rest[1:])
 
     def _told(self, rest: list[Any], body: bytes = b"") -> None:
         self.owed.pop(rest[0], None)
@@ -174,8 +183,10 @@
             self.append("over", name)
 
     def owe(self, name: str, state: str, after_ms: int) -> None:
-        self._owed([name, state, after_ms])
-        self.append("owed", name, state, after_ms)
+        m = self.messages.get(name)
+        end = Owed(state, after_ms, m.order_key if m is not None else None)
+        self._owed([name, *end])
+        self.append("owed", name, *end)
 
     def told(self, name: str) -> None:
         if name in self.owed:
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -112,6 +112,8 @@
     queue: deque[Message] = field(default_factory=deque)
     out: int = 0
     rest_until: int = 0
+    owed: set[str] = field(default_factory=set)
+    """Those with a final answer that is still on its way."""
 
 
 @dataclass(slots=True)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -122,6 +122,16 @@
     assert got and got[0] >= 2 * S + 300 * MS
 
 
+def test_key_waits_until_the_final_answer_of_the_one_before_has_arrived() -> None:
+    d = started(ends_told=True)
+    d.handle(0, [i.EndOwed("z", "l"), ask("a", 10, "turns", 20 * MS, key="k"),
+                 ask("b", 11, "turns", 9 * S, key="k"), ask("c", 12, "turns", 9 * S, key="l")])
+    assert not [a for _, a in sweep(d, MS, 500 * MS) if isinstance(a, i.Send)]
+    assert [s.message for s in sends(d.handle(S, [i.EndTold("a"), i.EndTold("stranger")]))] == ["b"]
+    assert [s.message for s in sends(d.handle(S + MS, [i.EndTold("z")]))] == ["c"]
+    assert not d.owed
+
+
 def test_one_time_out_alone_is_no_outage() -> None:
     """i93776c: one long message put its target under the cold budget for the whole warming time."""
     d = started(ONE)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
 from lemonshunt.net.http import BadAnswer, ResponseReader
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Store, Taken
+from lemonshunt.net.store import Owed, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, always, hang, message
 
@@ -47,7 +47,7 @@
         assert list(back.messages) == ["a", "b"] and back.messages == store.messages
         assert (a.attempts, a.ran_at_us, a.ran_on, a.out) == (2, 50, "s1", {1: (60, "s2")})
         assert (back.messages["b"].attempts, back.messages["b"].ran_at_us) == (1, -1)
-        assert back.owed == {"d": ("returned", 500)} and back.outages == {"s1": (5, -1)}
+        assert back.owed == {"d": Owed("returned", 500)} and back.outages == {"s1": (5, -1)}
         assert (back.seq, back.source, back.hosts) == (41, "127.0.0.1:8500", store.hosts)
         assert back.live == store.live
         assert store.compact()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -166,6 +166,36 @@
     play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("restart", [False, True])
+def test_a_key_goes_on_only_when_the_notice_of_the_one_before_is_answered(
+        tmp_path: Path, restart: bool) -> None:
+    """The next of the key used to leave together with the notice, and could overtake it."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        platform.accepts = False
+        early: list[str] = []
+
+        async def note(request: Any) -> Answer:
+            if not platform.accepts:
+                early.append(request.headers["x-correlation-id"])
+            return OK
+        first = await target(platform, always(Answer(504)))
+        other = await target(platform, note, "s2", block=8)
+        node = await node_on(folder, platform, max_attempts=2)
+        assert (await node.hand_in("a", "turns", X_Session_Key="k"))[0] == 202
+        assert (await node.hand_in("b", "turns", dest=8, X_Session_Key="k"))[0] == 202
+        await first.got(2)
+        await platform.until(lambda: any(r.path == "/v1/notices" for r in platform.requests))
+        if restart:
+            await node.restart()
+        assert (await node.hand_in("c", "turns", dest=8, X_Session_Key="l"))[0] == 202
+        await other.got(1)
+        platform.accepts = True
+        await other.got(2)
+        assert early == ["c"]
+        assert [r.headers["x-correlation-id"] for r in other.requests] == ["c", "b"]
+    play(scene, tmp_path)
+
+
 def test_attempts_spent_before_a_restart_stay_spent(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         peer = await target(platform, hang)
