--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -69,6 +69,8 @@
     begun: bool = False
     """Some of its answer has come."""
     open: dict[str, Item] = field(default_factory=dict)
+    given_up: list[Item] = field(default_factory=list)
+    """Those no longer waited for while the call goes on for the others."""
 
 
 @dataclass(slots=True)
@@ -77,9 +79,10 @@
     closed: bool = False
     wait_us: int = 0
     weak: bool = False
+    still_out: bool = False
 
 
-Sink = Callable[[i.Ended], None]
+Sink = Callable[[i.Ended | i.CallOver], None]
 
 
 class Connection(asyncio.Protocol):
@@ -302,8 +305,11 @@
             outcome = Outcome.NOT_SENT if early else Outcome.NO_CONNECTION
         elif self.true_200(call):
             outcome = Outcome.DELIVERED
+        others = sent and len(items) < len(call.open)  # they keep the connection, and so these attempts, open
+        if others:
+            call.given_up += items
         for item in items:
-            self.tell(call, item, Result(outcome))
+            self.tell(call, item, Result(outcome, still_out=others))
         if call.open:
             self.arm(call)
         else:
@@ -358,9 +364,15 @@
             self.waits[call.place] = max(until, self.waits.get(call.place, 0))
         if not call.open:
             self.out -= 1
+            if call.given_up:  # later in this turn of the loop, when its connection has been let go
+                asyncio.get_running_loop().call_soon(self.over, call)
         self.sink(i.Ended(item.id, item.attempt, call.target, result.outcome, self.clock() - call.sent_us,
                           result.closed or result.outcome is Outcome.DELIVERED, result.wait_us, report,
-                          result.weak))
+                          result.weak, result.still_out))
+
+    def over(self, call: Call) -> None:
+        for item in call.given_up:
+            self.sink(i.CallOver(item.id, item.attempt))
 
     def ended(self, call: Call, reader: ResponseReader, broken: bool = False) -> None:
         """An answer came, or the connection broke before it was whole."""
