--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -119,7 +119,7 @@
             memory_mb=int(limits.get("memory_mb", 192)),
             sockets=int(limits.get("sockets", 1024)),
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
-            known=host_list(told.get("known") or {"seq": 0, "whole": True, "hosts": []}),
+            known=host_list(told.get("known") or {"seq": -1, "whole": True, "hosts": []}),
             settings=settings(facts),
             report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
         )
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -13,6 +13,7 @@
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
 from lemonshunt.net.store import Owed
 
+NO_VERSION = -1  # of a list that is not known yet; discovery counts from 0
 HOLD_MS = 20_000  # how long a watch waits for something newer
 LATE_S = 1.2  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after
 ANSWER_S = 2.5  # how long another answer may take; discovery gives up after 2 s itself
@@ -122,7 +123,7 @@
         if self.task is not None:
             self.task.cancel()
         self.client.close()
-        self.client, self.seq, self.task = Client(where), 0, None
+        self.client, self.seq, self.task = Client(where), NO_VERSION, None
         self.insist_until = time.monotonic() + INSIST_S
         if self.wanted:
             self.subscribe()
@@ -130,7 +131,7 @@
     async def follow(self) -> None:
         while True:
             path, wait = "/discovery/hosts", ANSWER_S
-            if self.seq > 0:
+            if self.seq > NO_VERSION:
                 path, wait = f"{path}?from={self.seq}&hold_ms={HOLD_MS}", LATE_S + HOLD_MS / 1000
             asked = time.monotonic()
             try:
@@ -146,7 +147,8 @@
                 self.task = None
                 self.listed(None)
                 return
-            news, self.seq = told.seq != self.seq or told.hosts, told.seq
+            news = told.seq != self.seq or (told.hosts and not told.whole)
+            self.seq = told.seq
             self.listed(told)
             if not news and time.monotonic() - asked < LEAST_WATCH_S:
                 await asyncio.sleep(LEAST_WATCH_S)  # a discovery that answers at once must not spin us
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -18,7 +18,7 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
-from lemonshunt.net.discovery import Notices, Watch
+from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import Owed, Store, Taken
 
@@ -82,7 +82,7 @@
         seq = self.recover()
         # Another address than the list came from may count its versions anew: the whole list is asked for.
         same = self.store.source in ("", str(config.discovery))
-        self.watch = Watch(config.discovery, seq if same else 0, self.listed)
+        self.watch = Watch(config.discovery, seq if same else NO_VERSION, self.listed)
 
     # Starting
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -147,8 +147,8 @@
         if self.garbage:
             self.garbage -= 1
             return Answer(200, body=b'{"seq": "x", "hosts": [3')
-        since = int(request.path.partition("from=")[2].partition("&")[0] or 0)
-        if since <= 0:
+        since = int(request.path.partition("from=")[2].partition("&")[0] or -1)
+        if since < min(1, self.seq):
             return Answer(200, body=json.dumps(self.listing()).encode())
         async with self.changed:
             await self.changed.wait_for(lambda: self.seq > since)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -286,6 +286,22 @@
     play(scene, tmp_path)
 
 
+def test_watch_waits_also_on_version_0(tmp_path: Path) -> None:
+    """Version 0 used to stand for none: the whole list was asked for again and again, at full speed."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        platform.seq = 0
+        await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        await platform.until(lambda: any("from=0&" in r.path for r in platform.requests))
+        assert (await node.hand_in("m", "status"))[0] == 202
+        platform.host("s2", 9, health="draining")
+        await platform.change("s2", "draining")
+        await platform.until(lambda: any("from=1&" in r.path for r in platform.requests))
+        paths = [r.path for r in platform.requests if r.path.startswith("/discovery")]
+        assert [p.partition("&")[0] for p in paths] == ["/discovery/hosts?from=0", "/discovery/hosts?from=1"]
+    play(scene, tmp_path)
+
+
 def test_refused_connection_never_ran_and_a_broken_one_may_have(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         port = free_port()
