--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -112,6 +112,7 @@
     async def run(self) -> None:
         where = self.config.listen
         self.round()
+        self.watch.subscribe()  # over sockets the list comes to nobody who does not ask, 'pushed' or not
         self.notices.kick()
         await self.server.listen(where.host, where.port)
         log.info("ready")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -286,6 +286,26 @@
     play(scene, tmp_path)
 
 
+def test_list_is_followed_also_where_the_settings_say_that_it_is_pushed(tmp_path: Path) -> None:
+    """It used to be asked for only where they say 'on_request': drains were never heard of."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        one = await target(platform, always(OK))
+        two = await target(platform, always(OK), "s2")
+        node = Node(folder, platform)
+        folder_nodes[-1].append(node)
+        configure(node, settings={**SETTINGS, "discovery": "pushed"})
+        await node.start()
+        await platform.until(lambda: any("from=1&" in r.path for r in platform.requests))
+        await platform.change("s1", "draining")
+        await platform.until(lambda: any("from=2&" in r.path for r in platform.requests))  # it was told
+        before = len(one.requests)
+        for n in range(4):
+            assert (await node.hand_in(f"m{n}", "status"))[0] == 202
+        await two.got(4)
+        assert len(one.requests) == before
+    play(scene, tmp_path)
+
+
 def test_watch_waits_also_on_version_0(tmp_path: Path) -> None:
     """Version 0 used to stand for none: the whole list was asked for again and again, at full speed."""
     async def scene(platform: Platform, folder: Path) -> None:
