--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -349,8 +349,9 @@
             self.held.add(m)
 
     def idle_lost(self, call: Call, outcome: Outcome) -> bool:
-        """Whether a call failed on an idle connection: it tells of that and not of its target."""
-        lost = IDLE_LEAST_US < call.idle <= self.idle_us and outcome in (Outcome.RESET, Outcome.TIMED_OUT)
+        """Whether a call failed on an idle connection: it tells of that and not of its target. A time-out is
+        the target's own: a slow one would else never be seen to be slow, and cost all their connections."""
+        lost = IDLE_LEAST_US < call.idle <= self.idle_us and outcome is Outcome.RESET
         if lost:
             self.idle_us = call.idle // 2
         return lost
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -178,3 +178,16 @@
         out = out[1:] + sends(d.handle(now, [end(out[0], OK)]))
         most = max(most, len(out))
     assert most == 6  # three quarters of eight
+
+
+def test_a_time_out_on_an_idle_connection_tells_of_its_target() -> None:
+    """It used to be laid on the connection: ever more of them were closed early, and a slow target never
+    seemed slow."""
+    d = fleet(2, conn_idle_us=5 * S)[0]
+    out = sends(d.handle(0, [ask("a")]))[0]
+    d.handle(100 * MS, [end(out, OK)])
+    out = sends(d.handle(2 * S, [ask("b", due=9 * S)]))[0]
+    d.handle(4 * S, [end(out, i.Outcome.TIMED_OUT, took=2 * S), i.Withdrawn("b")])
+    assert d.targets[1].failing > 0 and d.expected(d.targets[1].place, d.classes["safe"]) > 400 * MS
+    actions = d.handle(6 * S, [ask("c", due=15 * S)])
+    assert sends(actions) and i.CloseIdle(1) not in actions
