--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -23,6 +23,7 @@
 SICK_CAP = 0.5  # and while it fails or is slow: the design's half
 SLOW_TIMES = 4  # times its seed: an expected call above this counts as slow
 TIMEOUT_CALLS = 6  # expected calls that an attempt may take, and its class's aim at least
+RETRY_TIMES = 2  # after a time-out the next attempt may take so many times as long: the work itself may be long
 STALL_CALLS = 8  # usual calls after which one is held to be lost where some later ones have been delivered
 STALL_US = 600_000  # and this at least
 PASSED = 3  # so many later ones: a single one may just have been quick
@@ -332,6 +333,8 @@
             if event.outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELED):
                 line.rest_until = max(line.rest_until, self.now + self.s.key_rest_us)
             self.next_in(line)
+        if event.outcome is Outcome.TIMED_OUT:
+            m.waited = event.took_us
         if event.outcome not in i.NEVER_RAN and m.ran_at < 0:
             m.ran_at, m.ran_on = call.sent_at, target.id
         if not call.judged and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELED):
@@ -536,4 +539,4 @@
         """How long an attempt may take. One that must not run twice is waited for till its end."""
         left = m.due - self.now
         patience = left if m.cls.effect is i.Effect.ONCE else TIMEOUT_CALLS * self.expected(place, m.cls)
-        return min(left, max(m.cls.aim_us, int(patience)))
+        return min(left, max(m.cls.aim_us, int(patience), RETRY_TIMES * m.waited))
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -25,6 +25,8 @@
     """When the first attempt that may have run was sent; -1 while none may have."""
     ran_on: int = -1
     """Its target."""
+    waited: int = 0
+    """How long the attempt that timed out last was waited for."""
     avoid: int = -1
     """The target that last failed it."""
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -290,3 +290,12 @@
     window = d.targets[1].place.window
     d.handle(6 * S, [end(silent, LATE, took=5900 * MS)])
     assert (d.targets[1].failing < 0.3) is passed and (d.targets[1].place.window >= window) is passed
+
+
+def test_a_message_that_timed_out_is_waited_for_twice_as_long() -> None:
+    """One whose work is long used to be cut at the same point by every attempt until its time was up."""
+    d = started(ONE)
+    first = sends(d.handle(0, [ask("a", due=30 * S, cls="safe")]))[0]
+    later = d.handle(first.timeout_us, [end(first, LATE, took=first.timeout_us)])
+    again = sends(later) or [a for _, a in sweep(d, first.timeout_us + MS, 9 * S) if isinstance(a, i.Send)]
+    assert again[0].timeout_us >= 2 * first.timeout_us
