--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -79,8 +79,6 @@
         self.lines: dict[str, Line] = {}
         self.owed: dict[str, str] = {}
         """The order key of each message whose final answer is still on its way."""
-        self.still_out: dict[tuple[str, int], str] = {}
-        """And of each attempt given up whose call goes on for others."""
         self.purses: dict[str, int] = {}
         self.calls_out, self.taken, self.armed, self.absorbed = 0, 0, -1, 0
         self.round_calls: dict[int, Call] = {}
@@ -113,10 +111,6 @@
                     self.listed(event)
                 case i.Withdrawn() if event.message in self.messages:
                     self.over(self.messages[event.message])
-                case i.CallOver() if (event.message, event.attempt) in self.still_out:
-                    line = self.lines[self.still_out.pop((event.message, event.attempt))]
-                    line.out -= 1
-                    self.next_in(line)
                 case i.EndOwed():
                     self.owe(event.message, event.key)
                 case i.EndTold() if event.message in self.owed:
@@ -326,10 +320,7 @@
         m.out -= 1
         if m.key is not None:
             line = self.lines[m.key]
-            if event.still_out:  # rule 6: until its connection is closed, the target still has it
-                self.still_out[(event.message, event.attempt)] = m.key
-            else:
-                line.out -= 1
+            line.out -= 1
             if event.outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELED):
                 line.rest_until = max(line.rest_until, self.now + self.s.key_rest_us)
             self.next_in(line)
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -229,16 +229,6 @@
     report: LoadReport | None = None
     weak: bool = False
     """The connection may be to blame as well as the target: it tells little of that."""
-    still_out: bool = False
-    """Other messages of its call are still waited for: the attempt is out until `CallOver`."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallOver:
-    """The call of an attempt that ended as `still_out` has closed: now that attempt is out no more."""
-
-    message: str
-    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,8 +264,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | CallOver | Withdrawn | EndOwed | EndTold
-         | TimerDue | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | TimerDue
+         | Probed)
 
 
 # Actions
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -69,8 +69,6 @@
     begun: bool = False
     """Some of its answer has come."""
     open: dict[str, Item] = field(default_factory=dict)
-    given_up: list[Item] = field(default_factory=list)
-    """Those no longer waited for while the call goes on for the others."""
 
 
 @dataclass(slots=True)
@@ -79,10 +77,9 @@
     closed: bool = False
     wait_us: int = 0
     weak: bool = False
-    still_out: bool = False
 
 
-Sink = Callable[[i.Ended | i.CallOver], None]
+Sink = Callable[[i.Ended], None]
 
 
 class Connection(asyncio.Protocol):
@@ -281,39 +278,28 @@
             call.timer.cancel()
             call.timer = None
         if call.open:
-            call.until_us = max(item.until_us for item in call.open.values())
-            first = min(item.until_us for item in call.open.values())
-            delay = max(0, first - self.clock()) / SECOND
+            call.until_us = min(item.until_us for item in call.open.values())
+            delay = max(0, call.until_us - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
-        now = self.clock()
-        late = [item for item in call.open.values() if item.until_us <= now]
-        self.give_up(call, late, Outcome.TIMED_OUT)
+        self.give_up(call, Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
         if call is not None and message in call.open:
-            self.give_up(call, [call.open[message]], Outcome.CANCELED)
+            self.give_up(call, Outcome.CANCELED)
 
-    def give_up(self, call: Call, items: list[Item], outcome: Outcome) -> None:
-        """Stop waiting for some messages of a call. With none left its connection is closed: a late answer
-        must not be taken for the next call's."""
+    def give_up(self, call: Call, outcome: Outcome) -> None:
+        """Stop waiting for a call, all its messages together: while its connection is open each of them is
+        still out, and once it is closed, as a late answer must not be taken for the next call's, none is."""
         sent = call.connection is not None and call.written
         if not sent:  # a connection that still had time to come up tells nothing of its target
             early = call.connection is None and self.clock() < call.dial_until_us
             outcome = Outcome.NOT_SENT if early else Outcome.NO_CONNECTION
         elif self.true_200(call):
             outcome = Outcome.DELIVERED
-        others = sent and len(items) < len(call.open)  # they keep the connection, and so these attempts, open
-        if others:
-            call.given_up += items
-        for item in items:
-            self.tell(call, item, Result(outcome, still_out=others))
-        if call.open:
-            self.arm(call)
-        else:
-            self.drop(call)
+        self.finish(call, Result(outcome))
 
     def true_200(self, call: Call) -> bool:
         """Whether the first line of a call with one message says 200: it is delivered, whatever follows."""
@@ -364,15 +350,9 @@
             self.waits[call.place] = max(until, self.waits.get(call.place, 0))
         if not call.open:
             self.out -= 1
-            if call.given_up:  # later in this turn of the loop, when its connection has been let go
-                asyncio.get_running_loop().call_soon(self.over, call)
         self.sink(i.Ended(item.id, item.attempt, call.target, result.outcome, self.clock() - call.sent_us,
                           result.closed or result.outcome is Outcome.DELIVERED, result.wait_us, report,
-                          result.weak, result.still_out))
-
-    def over(self, call: Call) -> None:
-        for item in call.given_up:
-            self.sink(i.CallOver(item.id, item.attempt))
+                          result.weak))
 
     def ended(self, call: Call, reader: ResponseReader, broken: bool = False) -> None:
         """An answer came, or the connection broke before it was whole."""
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -62,6 +62,7 @@
         self.share_sockets(config.sockets)
         self.notices = Notices(config.discovery, self)
         self.batches = {k.name: k.batch for k in s.kinds}
+        self.once = {c.name for c in s.classes if c.effect is i.Effect.ONCE}
         self.apart = {k.name for k in s.kinds if k.routes_apart}
         self.hosts: dict[str, Host] = {}
         self.numbers: dict[str, int] = {}
@@ -287,7 +288,7 @@
             self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
                                   handed.key, handed.tenant, handed.body, handed.order_key))
         calls: list[i.CloseIdle | Call | i.Cancel] = []
-        forming: dict[int, Call] = {}
+        forming: dict[tuple[int, bool], Call] = {}
         for a in actions:
             match a:
                 case i.Send():
@@ -356,9 +357,11 @@
         else:
             door.answer(HTTPStatus.TOO_MANY_REQUESTS, "refused")
 
-    def send(self, a: i.Send, now: int, forming: dict[int, Call],
+    def send(self, a: i.Send, now: int, forming: dict[tuple[int, bool], Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
-        """Journal an attempt and put it into a call: those of one round to one target travel together."""
+        """Journal an attempt and put it into a call: those of one round to one target travel together. A call
+        is given up as a whole, so once-only messages, which are waited for till their end, share none with
+        those that may be sent again sooner."""
         m = self.store.messages.get(a.message)
         if m is None:  # only after a fault: the slot must come free again
             self.post(i.Ended(a.message, 0, a.target, i.Outcome.NOT_SENT, 0, closed=True))
@@ -373,12 +376,13 @@
             return
         self.store.attempt(m, number, now, name)
         item = Item(m.id, number, m.key, m.body, now + min(a.timeout_us, m.due_us - now))
-        call = forming.get(a.target)
+        once = m.class_name in self.once
+        call = forming.get((a.target, once))
         most = self.batches.get(str(target.raw.get("class")), 1)
         if call is None or len(call.items) >= most or not fits(call.items, item):
             apart = str(target.raw.get("class")) in self.apart
             place = (m.destination, a.target if apart else -1)
-            call = forming[a.target] = Call(a.target, place, now, [])
+            call = forming[a.target, once] = Call(a.target, place, now, [])
             calls.append(call)
         call.items.append(item)
 
