--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -51,6 +51,8 @@
     key: str | None
     body: bytes
     until_us: int
+    at_end: bool = False
+    """Its own time ends then, and it goes nowhere else: the others of its call can wait on."""
 
 
 @dataclass(slots=True)
@@ -278,12 +280,22 @@
             call.timer.cancel()
             call.timer = None
         if call.open:
-            call.until_us = min(item.until_us for item in call.open.values())
-            delay = max(0, call.until_us - self.clock()) / SECOND
+            patience = [item.until_us for item in call.open.values() if not item.at_end]
+            call.until_us = min(patience) if patience else max(item.until_us for item in call.open.values())
+            first = min(item.until_us for item in call.open.values())
+            delay = max(0, first - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call) -> None:
-        self.give_up(call, Outcome.TIMED_OUT)
+        now = self.clock()
+        late = [item for item in call.open.values() if item.until_us <= now]
+        if len(late) < len(call.open) and all(item.at_end for item in late):
+            for item in late:
+                sent = call.connection is not None and call.written
+                self.tell(call, item, Result(Outcome.TIMED_OUT if sent else Outcome.NOT_SENT))
+            self.arm(call)
+        else:
+            self.give_up(call, Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -375,8 +375,9 @@
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
         self.store.attempt(m, number, now, name)
-        item = Item(m.id, number, m.key, m.body, now + min(a.timeout_us, m.due_us - now))
         once = m.class_name in self.once
+        at_end = a.timeout_us >= m.due_us - now and not once and m.order_key is None
+        item = Item(m.id, number, m.key, m.body, now + min(a.timeout_us, m.due_us - now), at_end)
         call = forming.get((a.target, once))
         most = self.batches.get(str(target.raw.get("class")), 1)
         if call is None or len(call.items) >= most or not fits(call.items, item):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -227,6 +227,25 @@
     asyncio.run(scene())
 
 
+def test_message_whose_own_time_ends_does_not_cut_the_call_it_shares() -> None:
+    """A batch used to be given up with the first of its messages that ran out of time, and went out again."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+        peer = await Peer(hang).start()
+        p = pool(ends)
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        now = Clock()()
+        p.start(Call(1, (7, -1), now, [Item("long", 0, None, b"", now + 10**9),
+                                       Item("short", 0, None, b"", now + 300_000, at_end=True)]))
+        while not ends:
+            await asyncio.sleep(0.005)
+        assert [e.message for e in ends] == ["short"] and p.out == 1
+        p.cancel("long", 0)
+        assert [e.message for e in ends] == ["short", "long"] and p.out == 0
+        p.close()
+    asyncio.run(scene())
+
+
 def test_connections_are_used_again_and_closed_on_demand() -> None:
     async def scene() -> None:
         ends: list[i.Ended] = []
