Answer operators at an address of their own and count what became of messages

The tests fail without the change; one found that only the first of the three counts named every class from 0.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -8,18 +8,23 @@
 import signal
 import sys
 
+from lemonshunt.net.admin import Admin
 from lemonshunt.net.config import Config, ConfigError, load
 from lemonshunt.net.engine import Engine
 
 
 async def serve(config: Config) -> None:
-    engine = Engine(config)
+    admin = Admin()
+    if config.admin is not None:
+        await admin.listen(config.admin)
+    admin.operated = engine = Engine(config)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, engine.stop)
     loop.add_signal_handler(signal.SIGINT, engine.stop)
     loop.add_signal_handler(signal.SIGHUP, engine.reload)
     gc.freeze()  # what is made at the start stays: it need not be looked through again and again
     await engine.run()
+    admin.close()
 
 
 def main() -> int:
--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -412,6 +412,11 @@
             return place.mean
         return float(seed + (place.mean - seed) * 0.5 ** ((self.now - place.mean_at) / EASE_US))
 
+    def avoids(self, target: int) -> bool:
+        """Whether a target gets nothing now, or nothing while another of its destination is sound."""
+        t = self.targets.get(target)
+        return t is None or not t.serving or (t.outage_at >= 0 and t.back_at < 0)
+
     def cap(self, place: Place) -> float:
         """The window's top: three quarters of the slots, half while failing or slow, never under one."""
         sick = place.mean > SLOW_TIMES * place.seed > 0 or any(
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -68,6 +68,8 @@
     timer: asyncio.TimerHandle | None = None
     written: bool = False
     batched: bool = False
+    rendered: int = 0
+    """Messages that its bytes hold."""
     begun: bool = False
     """Some of its answer has come."""
     open: dict[str, Item] = field(default_factory=dict)
@@ -101,7 +103,13 @@
 
     def resume_writing(self) -> None:
         if self.call is not None:
-            self.call.written = True
+            self.whole(self.call)
+
+    def whole(self, call: Call) -> None:
+        """The call's last byte is out."""
+        if not call.written:
+            call.written = True
+            self.pool.relayed += call.rendered
 
     def closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
@@ -122,7 +130,8 @@
         self.age_us = self.start_us - self.idle_us if self.idle_us >= 0 else -1
         self.call, call.connection = call, self
         self.transport.write(data)
-        call.written = self.transport.get_write_buffer_size() == 0
+        if self.transport.get_write_buffer_size() == 0:
+            self.whole(call)
 
     def close(self) -> None:
         if self.transport is not None:
@@ -181,6 +190,7 @@
         self.waits: dict[tuple[int, int], int] = {}
         self.sweeping = False
         self.out = 0
+        self.relayed = 0  # messages written whole to targets
         self.spoilt_us = -SPOILT_LOG_US
         self.calls: dict[tuple[str, int], Call] = {}
 
@@ -262,7 +272,7 @@
         where = self.where[call.target]
         host = f"{where.host}:{where.port}"
         items = list(call.open.values())
-        call.batched = len(items) > 1
+        call.batched, call.rendered = len(items) > 1, len(items)
         left = f"{max(1, (call.until_us - self.clock()) // 1000) / 1000:.3f}"
         if len(items) == 1:
             item = items[0]
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -68,6 +68,8 @@
     known: HostList
     settings: i.Settings
     report_fields: tuple[str, ...]
+    admin: Address | None = None
+    """Where operators call; None where that is not wanted."""
 
 
 def address(text: Any) -> Address:
@@ -107,6 +109,7 @@
         limits = told.get("limits") or {}
         facts = need(told, "settings", dict)
         state = environ.get("LB_STATE")
+        admin = environ.get("LB_ADMIN_ADDR") or told.get("admin_addr")
         if not state:
             raise ConfigError("LB_STATE is not set")
         return Config(
@@ -122,6 +125,7 @@
             known=host_list(told.get("known") or {"seq": -1, "whole": True, "hosts": []}),
             settings=settings(facts),
             report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
+            admin=address(admin) if admin else None,
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -13,9 +13,11 @@
 from collections import Counter, OrderedDict
 from dataclasses import replace
 from http import HTTPStatus
+from typing import Any
 
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
+from lemonshunt.net.admin import Answer, Figures
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
 from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
@@ -57,7 +59,7 @@
         s = replace(config.settings, ends_told=True)
         self.store = Store(config.state, config.disk_bytes)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
-        self.server = Server(s, self.clock, 0, self.hand_in)
+        self.server = Server(s, self.clock, 0, self.hand_in, self.ready)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us, 0)
         self.share_sockets(config.sockets)
         self.notices = Notices(config.discovery, self)
@@ -78,6 +80,9 @@
         self.recent: OrderedDict[str, None] = OrderedDict()
         self.leaving_s, self.lag_s, self.swept_s = 0.0, -LAG_LOG_S, 0.0
         self.counts: Counter[str] = Counter()
+        self.figures = Figures()
+        self.figures.cover(c.name for c in s.classes)
+        self.serving = False
         self.summed_s = time.monotonic()
         self.done = asyncio.Event()
         seq = self.recover()
@@ -106,6 +111,7 @@
             self.events.append(i.Recalled(
                 m.id, m.destination, m.class_name, m.due_us, m.order_key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off))
+        self.figures.taken = len(kept.messages)
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
         return known.seq
@@ -116,6 +122,7 @@
         self.watch.subscribe()  # over sockets the list comes to nobody who does not ask, 'pushed' or not
         self.notices.kick()
         await self.server.listen(where.host, where.port)
+        self.serving = True
         log.info("ready")
         self.tick(time.monotonic())
         await self.done.wait()
@@ -140,6 +147,7 @@
         old = self.clock() - OVERDUE_US
         for m in [m for m in self.store.messages.values() if m.due_us < old and not self.frozen]:
             log.error("message %s was left without an end", m.id)
+            self.figures.end(self.figures.faulted, m.class_name)
             self.store.owe(m.id, "failed", 0)
             self.post(i.Withdrawn(m.id))
         asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
@@ -189,6 +197,7 @@
             door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or was: it must not be delivered twice
             return
         if handed.id in self.arriving:
+            self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=AWAY_S)
             return
         held = len(self.store.messages) + len(self.arriving)
@@ -198,9 +207,11 @@
                 self.full_us = self.clock()
                 log.warning("full: %d messages held; new ones are turned away", held)
             self.counts["turned away full"] += 1
+            self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "full", Retry_After=AWAY_S)
             return
         if handed.destination not in self.destinations:
+            self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "no such destination", Retry_After=AWAY_S)
             return
         self.arriving[handed.id] = (handed, door)
@@ -280,10 +291,11 @@
         for a in actions:
             if isinstance(a, i.Refuse | i.Fail) and a.message in arriving:
                 handed, door = arriving.pop(a.message)
-                self.turn_away(door, a)
+                self.turn_away(handed, door, a)
                 if handed.order_key is not None:
                     self.post(i.EndTold(handed.id))  # by the answer itself
         self.counts["taken"] += len(arriving)
+        self.figures.taken += len(arriving)
         for handed, _ in arriving.values():
             self.store.take(Taken(handed.id, handed.class_name, handed.destination, handed.due_us,
                                   handed.key, handed.tenant, handed.body, handed.order_key))
@@ -295,10 +307,12 @@
                     self.send(a, now, forming, calls)
                 case i.Refuse() if a.message in self.store.messages:
                     self.counts["returned"] += 1
+                    self.figures.end(self.figures.throttled, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "returned", -(-a.wait_us // 1000))
                     self.ended(a.message)
                 case i.Fail() if a.message in self.store.messages:
                     self.counts["given up"] += 1
+                    self.figures.end(self.figures.faulted, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "failed", 0)
                     self.ended(a.message)
                 case i.CloseIdle() | i.Cancel():
@@ -341,15 +355,19 @@
             if name in unread:
                 self.arriving[name] = arriving.pop(name)
             elif name not in known:
-                arriving.pop(name)[1].answer(
+                handed, door = arriving.pop(name)
+                self.figures.throttled[handed.class_name] += 1
+                door.answer(
                     HTTPStatus.SERVICE_UNAVAILABLE, "internal fault", Retry_After=AWAY_S)
         if self.events:
             self.schedule()
         return actions
 
-    def turn_away(self, door: Door, a: i.Refuse | i.Fail) -> None:
+    def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
         self.counts["turned away"] += 1
+        counts = self.figures.faulted if isinstance(a, i.Fail) else self.figures.throttled
+        counts[handed.class_name] += 1
         if isinstance(a, i.Fail):
             door.answer(HTTPStatus.INTERNAL_SERVER_ERROR, "cannot be delivered")
         elif a.wait_us > 0:
@@ -394,6 +412,8 @@
         if m is None:
             return
         if event.closed or event.outcome is i.Outcome.DELIVERED:
+            good = event.outcome is i.Outcome.DELIVERED
+            self.figures.end(self.figures.fulfilled if good else self.figures.faulted, m.class_name)
             self.store.over(m.id)
             self.ended(m.id)
         else:
@@ -415,6 +435,26 @@
         else:
             self.post(i.TimerDue(token))
 
+    # Operators
+
+    def ready(self) -> bool:
+        """The one truth for clients and operators: not before the journal is read, nor while leaving."""
+        return self.serving and not self.leaving_s
+
+    def told(self) -> dict[str, Any]:
+        """The figures."""
+        f = self.figures
+        return {
+            "fulfilled": f.fulfilled, "throttled": f.throttled, "faulted": f.faulted,
+            "relayed": self.pool.relayed, "open_requests": len(self.store.messages),
+            "registry_entries": len(self.hosts),
+            "out_of_rotation": sum(self.dispatcher.avoids(self.numbers[name]) for name in self.hosts),
+            "cfg_accepted": f.accepted, "cfg_invalid": f.invalid,
+        }
+
+    def rotate(self, name: str, out: bool, answer: Answer) -> None:
+        answer(HTTPStatus.NOT_FOUND, "no such endpoint\n")
+
     # Notices
 
     def owed_ends(self) -> dict[str, Owed]:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -23,6 +23,7 @@
 SWEEP_S = 0.2
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 LINGER_BYTES = 1 << 20  # and as much as is read of what it goes on sending
+BIND_TRIES, BIND_PAUSE_S = 100, 0.05
 ACCEPTS = 8  # connections taken at a time: room is made for these before more are taken
 TIME_LEFT = re.compile(r"-?[0-9]{1,9}(\.[0-9]{0,9})?", re.ASCII)  # float() reads more: nan, 1e9, 1_0
 LATEST = 2.0  # times its class's deadline: what has longer to live is malformed
@@ -277,27 +278,33 @@
             self.transport.abort()
 
 
+async def bind(host: str, port: int) -> socket.socket:
+    """A listening socket; the process before may still be going, so it is tried for a while."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    for attempt in range(BIND_TRIES):
+        try:
+            return socket.create_server((host, port), family=family)
+        except OSError:
+            if attempt == BIND_TRIES - 1:
+                raise
+            await asyncio.sleep(BIND_PAUSE_S)
+    raise AssertionError("not reached")
+
+
 class Server:
     """Listens for clients. `hand_in` gets each well-formed message together with its connection."""
 
     def __init__(self, settings: i.Settings, clock: Callable[[], int], most: int,
-                 hand_in: Callable[[Handed, Door], None]) -> None:
+                 hand_in: Callable[[Handed, Door], None], ready: Callable[[], bool] = lambda: True) -> None:
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
+        self.ready = ready
         self.doors: set[Door] = set()
         self.leaving = False
         self.listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
-        for attempt in range(100):
-            try:
-                family = socket.AF_INET6 if ":" in host else socket.AF_INET
-                sock = socket.create_server((host, port), family=family)
-                break
-            except OSError:  # the process before may still be going
-                if attempt == 99:
-                    raise
-                await asyncio.sleep(0.05)
+        sock = await bind(host, port)
         # asyncio takes as many connections at a time as its backlog says, before it tells of the first: with
         # a long one a flood would use up the descriptors before anything could make room.
         self.listener = await loop.create_server(lambda: Door(self), sock=sock, backlog=ACCEPTS)
@@ -341,8 +348,8 @@
         elif request.path.partition("?")[0] == "/up":
             if request.method not in ("GET", "HEAD"):
                 door.answer(HTTPStatus.METHOD_NOT_ALLOWED, "GET only", Allow="GET, HEAD")
-            elif self.leaving:
-                door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "stopping")
+            elif self.leaving or not self.ready():
+                door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
             else:
                 door.answer(HTTPStatus.OK, "up")
         else:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -190,13 +190,14 @@
 
     def __init__(self, folder: Path, platform: Platform, known: dict[str, Any] | None = None,
                  disk_mb: float = 3, **allowed: Any) -> None:
-        self.folder, self.port = folder, free_port()
+        self.folder, self.port, self.admin = folder, free_port(), free_port()
         self.log: list[str] = []
         (folder / "state").mkdir(exist_ok=True)
         settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], **allowed}}
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{platform.port}",
                   "seed": "5", "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": disk_mb},
-                  "known": known or platform.listing(), "settings": settings}
+                  "admin_addr": f"127.0.0.1:{self.admin}", "known": known or platform.listing(),
+                  "settings": settings}
         (folder / "config.json").write_text(json.dumps(config))
 
     async def start(self) -> Node:
@@ -230,6 +231,29 @@
         await self.end(sign)
         await self.start()
 
+    async def operate(self, method: str, path: str, body: bytes = b"") -> tuple[int, str]:
+        """One call at the operators' address."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(PATIENCE):
+            first, _, text = await read_message(reader)
+            assert await reader.read() == b""  # one call a connection
+        writer.close()
+        return int(first.split(" ")[1]), text.decode()
+
+    async def figures(self) -> dict[str, Any]:
+        status, text = await self.operate("GET", "/_vars")
+        assert status == 200
+        return dict(json.loads(text))
+
+    async def shows(self, test: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+        """The figures, once they are so."""
+        async with asyncio.timeout(PATIENCE):
+            while not test(figures := await self.figures()):
+                await asyncio.sleep(0.01)
+        return figures
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
--- /dev/null
+++ b/tests/test_operate.py
@@ -0,0 +1,112 @@
+"""What operators do day to day, on the real program: the second address and the figures."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.sockets import OK, PATIENCE, ROOT, SETTINGS, Answer, Platform, always, free_port, hang
+from tests.test_node import node_on, play, target
+
+
+def test_each_end_is_counted_once_and_what_was_taken_is_ended_or_open(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        await target(platform, always(Answer(500)), "s2", block=8)
+        await target(platform, hang, "s3", block=9)
+        node = await node_on(folder, platform)
+        zero = {"order": 0, "status": 0, "turns": 0, "pay": 0}
+        first = await node.figures()
+        assert first["fulfilled"] == first["throttled"] == first["faulted"] == zero
+        assert first["registry_entries"] == 3 and first["out_of_rotation"] == 0
+        for n in range(3):
+            assert (await node.hand_in(f"good{n}"))[0] == 202
+        assert (await node.hand_in("good0"))[0] == 202  # a copy is no second message
+        assert (await node.hand_in("bad", "pay", dest=8))[0] == 202
+        assert (await node.hand_in("spent", "status", dest=8))[0] == 202
+        assert (await node.hand_in("stays", "order", dest=9))[0] == 202
+        assert (await node.hand_in("late", "status", left="0.010"))[0] == 429
+        assert (await node.hand_in("lost", "status", dest=77))[0] == 503
+        f = await node.shows(lambda f: f["open_requests"] == 1 and f["relayed"] == 11)
+        assert f["fulfilled"] == {**zero, "order": 3}
+        assert f["faulted"] == {**zero, "pay": 1}
+        assert f["throttled"] == {**zero, "status": 3}
+        await node.restart()  # counts start with the process; what is open goes on
+        f = await node.shows(lambda f: f["relayed"] == 1)
+        assert f["open_requests"] == 1 and f["fulfilled"] == f["faulted"] == f["throttled"] == zero
+    play(scene, tmp_path)
+
+
+def test_operators_hear_a_no_for_what_is_not_a_call(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        assert (await node.operate("GET", "/_ready"))[0] == 200
+        assert (await node.operate("POST", "/_ready"))[0] == 405
+        assert (await node.operate("GET", "/_endpoints/detach"))[0] == 405
+        assert (await node.operate("GET", "/nothing"))[0] == 404
+        assert (await node.operate("POST", "/_endpoints/detach"))[0] == 400
+        assert (await node.operate("POST", "/_endpoints/detach", b"\xff\x00"))[0] == 400
+        assert (await node.operate("POST", "/_endpoints/detach", b"nobody"))[0] == 404
+        assert (await node.operate("POST", "/_endpoints/attach", b"nobody"))[0] == 404
+        assert (await node.operate("POST", "/_endpoints/detach", b"x" * 5000))[0] == 413
+        for noise in (b"\x16\x03\x01 noise\r\n\r\n", b"GET /" + b"x" * 20000):
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.admin)
+            writer.write(noise)
+            assert (await reader.read(12)).startswith(b"HTTP/1.1 4")
+            writer.close()
+        assert (await node.operate("GET", "/_ready"))[0] == 200
+    play(scene, tmp_path)
+
+
+def test_callers_who_sit_still_push_out_only_each_other(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        held = [await asyncio.open_connection("127.0.0.1", node.admin) for _ in range(40)]
+        for _, writer in held:
+            writer.write(b"POST /_endpoints/detach HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
+        assert (await node.operate("GET", "/_ready"))[0] == 200
+        assert (await node.hand_in("m"))[0] == 202
+        async with asyncio.timeout(PATIENCE):  # none is held for ever, and the newest hear why
+            assert (await held[-1][0].read()).startswith(b"HTTP/1.1 408")
+            for reader, _ in held:
+                try:
+                    await reader.read()
+                except ConnectionError:
+                    pass
+        for _, writer in held:
+            writer.close()
+    play(scene, tmp_path)
+
+
+def test_not_ready_while_leaving_at_either_address(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("m", "status"))[0] == 202
+        await peer.got(1)
+        node.process.send_signal(signal.SIGTERM)
+        while not any("stopping" in line for line in node.log):
+            await asyncio.sleep(0.01)
+        assert (await node.operate("GET", "/_ready"))[0] == 503
+        client = await node.client()
+        client.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await client.answer())[0] == 503
+        client.writer.close()
+    play(scene, tmp_path)
+
+
+def test_bad_operators_address_is_one_line(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text(json.dumps({
+        "name": "n", "listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "settings": SETTINGS}))
+    env = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json"), "LB_STATE": str(tmp_path),
+           "LB_ADMIN_ADDR": "here"}
+    done = subprocess.run([sys.executable, "-m", "lemonshunt"], cwd=ROOT, env=env, capture_output=True,
+                          text=True, timeout=60)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "'here'" in done.stderr
