Put settings in force at SIGHUP, whole or not at all; open messages keep their class

Ruled out: that the file was refused (the log says that it was read, the settings left for the next start), and that clients were too early (they name the class 1.2 s after). A broken file is found by its values or by a key that the file in force has; both are counted.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -63,17 +63,14 @@
     """Decides for one forwarder. Feed it every event; carry out, in order, the actions it returns."""
 
     def __init__(self, settings: i.Settings, seed: int, now: int) -> None:
-        self.s, self.now, self.random = settings, now, random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        self.kinds = {k.name: k for k in settings.kinds}
-        self.tenants = {t.name: t for t in settings.tenants}
+        self.now, self.random = now, random.Random(seed)
         self.targets: dict[int, Target] = {}
         self.by_destination: dict[int, list[Target]] = {}
         self.places: dict[tuple[int, int], Place] = {}
         self.messages: dict[str, Message] = {}
         self.held, self.agenda, self.jammed = Held(), Agenda(), False
-        many = settings.balancers > FEW
-        self.idle_us = self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if many else FORGET_US)
+        self.adopt(settings)
+        self.idle_us = self.idle_top
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
@@ -88,6 +85,31 @@
         if settings.subscribe:
             self.agenda.add(now, THE_LIST)
 
+    def adopt(self, settings: i.Settings) -> None:
+        """Settings and all that follows from them. What a message was taken on under stays with it."""
+        self.s = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.kinds = {k.name: k for k in settings.kinds}
+        self.tenants = {t.name: t for t in settings.tenants}
+        self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if settings.balancers > FEW else FORGET_US)
+
+    def retuned(self, settings: i.Settings) -> None:
+        self.adopt(settings)
+        self.idle_us = min(self.idle_us, self.idle_top)
+        for t in self.targets.values():
+            kind = self.kinds.get(t.kind, i.DestinationKind(t.kind))
+            t.batch = kind.batch
+            if t.apart is not kind.routes_apart:
+                t.apart = kind.routes_apart
+                t.place.out -= t.out
+                t.place = self.place(t.destination, t.id, t.apart)
+                t.place.out += t.out
+        self.looks.update(self.held.piles)
+
+    def place(self, destination: int, target: int, apart: bool) -> Place:
+        whose = (destination, target if apart else -1)
+        return self.places.setdefault(whose, Place(destination, 1.0, share=1.0 / self.s.balancers))
+
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
         self.now, self.actions, self.round_calls = now, [], {}
@@ -109,6 +131,8 @@
                     self.ended(event)
                 case i.Listed():
                     self.listed(event)
+                case i.Retuned():
+                    self.retuned(event.settings)
                 case i.Withdrawn() if event.message in self.messages:
                     self.over(self.messages[event.message])
                 case i.EndOwed():
@@ -145,10 +169,9 @@
             known = self.targets.get(e.target)
             if known is None or known.destination != e.destination:
                 kind = self.kinds.get(e.kind, i.DestinationKind(e.kind))
-                whose = (e.destination, e.target if kind.routes_apart else -1)
-                place = self.places.setdefault(whose, Place(e.destination, 1.0, share=1.0 / self.s.balancers))
+                place = self.place(e.destination, e.target, kind.routes_apart)
                 known = self.targets[e.target] = Target(
-                    e.target, e.destination, e.zone, e.weight, place, kind.batch, kind.routes_apart)
+                    e.target, e.destination, e.zone, e.weight, place, e.kind, kind.batch, kind.routes_apart)
             known.zone, known.weight, known.serving = e.zone, e.weight, e.state is i.TargetState.SERVING
         gone = [t for t in self.targets.values() if not t.serving and not t.out]
         for t in gone[:max(0, len(gone) - MOST_GONE)]:  # replaced targets must not pile up over months
@@ -166,25 +189,31 @@
         if cls is None:
             self.actions.append(i.Fail(event.message))
             return
+        self.take(event, cls)
+
+    def take(self, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
         self.taken += 1
         key = event.key if cls.in_order else None
         m = Message(event.message, event.destination, cls, event.due_us, self.now, self.taken, key,
-                    self.over_share(event.tenant))
+                    self.over_share(event.tenant), self.s.max_attempts)
         self.messages[m.id] = m
         self.held.add(m)
         self.looks.add(m.destination)
         if key is not None:
             self.lines.setdefault(key, Line()).queue.append(m)
+        return m
 
     def recalled(self, event: i.Recalled) -> None:
         """Go on with a message of before a restart: what it may do depends on what it did till then."""
-        self.arrived(i.Arrived(event.message, event.destination, event.class_name, event.due_us, event.key,
-                               event.tenant))
-        m = self.messages.get(event.message)
-        if m is not None:
-            m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
-            if m.key is not None and event.cut_off:
-                self.lines[m.key].rest_until = self.now + self.s.key_rest_us
+        cls = event.cls or self.classes.get(event.class_name)
+        if cls is None:
+            self.actions.append(i.Fail(event.message))
+            return
+        m = self.take(event, cls)
+        m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
+        m.most = event.most_attempts or m.most
+        if m.key is not None and event.cut_off:
+            self.lines[m.key].rest_until = self.now + self.s.key_rest_us
 
     def over_share(self, name: str | None) -> bool:
         """Whether a tenant has spent our part of its share; what goes beyond is worth little."""
@@ -293,7 +322,7 @@
         """Rule 2: whether a further attempt is allowed at all."""
         keyed = m.cls.effect is i.Effect.KEYED and self.now - m.ran_at < m.cls.window_us
         free = m.ran_at < 0 or m.cls.effect is i.Effect.REPEATABLE
-        return m.attempts < self.s.max_attempts and (free or keyed)
+        return m.attempts < min(m.most, self.s.max_attempts) and (free or keyed)
 
     def usable(self, m: Message) -> list[Target]:
         """Serving targets of the message's destination within its key's scope."""
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -196,6 +196,10 @@
     """That attempt's target."""
     cut_off: bool = False
     """An attempt was out when the process ended: it may still run."""
+    cls: MessageClass | None = None
+    """Its class as it was taken on under; None where that is not known and the one of that name now holds."""
+    most_attempts: int = 0
+    """The attempts it was taken on with; 0 where that is not known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +255,13 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings hold from now on. Messages taken on before keep their class and their attempts."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: str
@@ -264,8 +275,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | TimerDue
-         | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | Retuned
+         | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -179,10 +179,9 @@
 
     def __init__(self, clock: Callable[[], int], sink: Sink, fields: tuple[str, ...], idle_us: int,
                  dial_us: int, most: int) -> None:
-        self.clock, self.sink, self.fields, self.most = clock, sink, fields, most
-        self.idle_us = max(0, (idle_us or 60 * SECOND) - IDLE_MARGIN_US)
+        self.clock, self.sink, self.most = clock, sink, most
+        self.settle(fields, idle_us, dial_us)
         self.stale = [0.0] * 64
-        self.dial_us = dial_us or SECOND
         self.idle: dict[int, list[Connection]] = {}
         self.all: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
@@ -194,6 +193,10 @@
         self.spoilt_us = -SPOILT_LOG_US
         self.calls: dict[tuple[str, int], Call] = {}
 
+    def settle(self, fields: tuple[str, ...], idle_us: int, dial_us: int) -> None:
+        self.fields, self.dial_us = fields, dial_us or SECOND
+        self.idle_us = max(0, (idle_us or 60 * SECOND) - IDLE_MARGIN_US)
+
     def serving(self, where: dict[int, Address]) -> None:
         """The list changed: what is not in it any more gets no new call, and keeps no idle connection."""
         for target, old in self.where.items():
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -6,7 +6,7 @@
 import os
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -70,6 +70,8 @@
     report_fields: tuple[str, ...]
     admin: Address | None = None
     """Where operators call; None where that is not wanted."""
+    raw: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
+    """As it was read, but for the list: what a file that replaces it must have too."""
 
 
 def address(text: Any) -> Address:
@@ -96,6 +98,37 @@
                     tuple(host(raw) for raw in need(told, "hosts", list)))
 
 
+def short_of(old: Any, new: Any, where: str = "") -> str:
+    """The first key that the file in force has and the new one lacks; of named entries, each needs the keys
+    that all of those in force share. Without this a default would stand in for what was cut off."""
+    if isinstance(old, Mapping):
+        if not isinstance(new, Mapping):
+            return where
+        for key, value in old.items():
+            name = f"{where}.{key}".lstrip(".")
+            if key not in new:
+                return name
+            if value is not None and (found := short_of(value, new[key], name)):
+                return found
+    elif isinstance(old, list) and old and all(isinstance(e, Mapping) for e in old):
+        if not isinstance(new, list):
+            return where
+        shared = set.intersection(*(set(e) for e in old))
+        for entry in new:
+            for key in sorted(shared):
+                if not isinstance(entry, Mapping) or key not in entry:
+                    return f"{where}[].{key}"
+    return ""
+
+
+def replacement(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration read again, whole, or ConfigError."""
+    new = load(environ)
+    if missing := short_of(old.raw, new.raw):
+        raise ConfigError(f"bad configuration: {missing} is missing")
+    return new
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration; but for discovery the environment's names go before those in the file."""
     path = environ.get("LB_CONFIG")
@@ -126,6 +159,7 @@
             settings=settings(facts),
             report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
             admin=address(admin) if admin else None,
+            raw={**told, "known": None},
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -19,10 +19,10 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.admin import Answer, Figures
 from lemonshunt.net.client import Call, Item, Pool, fits
-from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, load
+from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, replacement
 from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Owed, Store, Taken
+from lemonshunt.net.store import Owed, Rules, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
 LISTEN_S = 1.0  # after SIGTERM new connections come for a while
@@ -63,9 +63,7 @@
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us, 0)
         self.share_sockets(config.sockets)
         self.notices = Notices(config.discovery, self)
-        self.batches = {k.name: k.batch for k in s.kinds}
-        self.once = {c.name for c in s.classes if c.effect is i.Effect.ONCE}
-        self.apart = {k.name for k in s.kinds if k.routes_apart}
+        self.derive(s)
         self.hosts: dict[str, Host] = {}
         self.numbers: dict[str, int] = {}
         self.names: dict[int, str] = {}
@@ -104,13 +102,17 @@
                 self.events.append(i.OutageRecalled(self.numbers[name], since, back))
         self.events += [i.EndOwed(name, end.order_key) for name, end in kept.owed.items()
                         if end.order_key is not None]
+        kept.settle(Rules(self.config.settings.max_attempts, self.config.settings.classes))
         for m in kept.messages.values():
+            if m.rules not in kept.rules:  # of an older journal
+                m.rules = kept.current
             cut_off = bool(m.out)
             for number in list(m.out):
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
                 m.id, m.destination, m.class_name, m.due_us, m.order_key, m.tenant, m.attempts, m.ran_at_us,
-                self.number(m.ran_on) if m.ran_on else -1, cut_off))
+                self.number(m.ran_on) if m.ran_on else -1, cut_off, kept.class_of(m),
+                kept.rules[m.rules].attempts))
         self.figures.taken = len(kept.messages)
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
@@ -393,7 +395,8 @@
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
         self.store.attempt(m, number, now, name)
-        once = m.class_name in self.once
+        cls = self.store.class_of(m)
+        once = cls is not None and cls.effect is i.Effect.ONCE
         at_end = a.timeout_us >= m.due_us - now and not once and m.order_key is None
         item = Item(m.id, number, m.key, m.body, now + min(a.timeout_us, m.due_us - now), at_end)
         call = forming.get((a.target, once))
@@ -471,23 +474,43 @@
     # A new configuration
 
     def reload(self) -> None:
-        """SIGHUP: read the configuration again. One that cannot be read leaves all as it is."""
+        """SIGHUP: read the configuration again. One that cannot hold leaves all as it is."""
+        old = self.config
         try:
-            new = load()
+            new = replacement(old)
         except ConfigError as error:
+            self.figures.invalid += 1
             log.error("the old configuration is kept: %s", error)
             return
-        old = self.config
-        later = [f for f in ("name", "listen", "state", "disk_bytes", "settings", "report_fields")
-                 if getattr(new, f) != getattr(old, f)]
-        self.config = replace(old, discovery=new.discovery, sockets=new.sockets, memory_mb=new.memory_mb)
+        self.figures.accepted += 1
+        self.round()  # what has come till now is decided as it came
+        later = [f for f in ("name", "listen", "state", "admin") if getattr(new, f) != getattr(old, f)]
+        self.config = replace(new, **{f: getattr(old, f) for f in later}, known=old.known, seed=old.seed)
         self.share_sockets(new.sockets)
+        self.store.most = self.store.bound(new.disk_bytes)
+        if (new.settings, new.report_fields) != (old.settings, old.report_fields):
+            self.retune(new)
         if new.discovery != old.discovery:
             self.watch.move(new.discovery)
             self.notices.move(new.discovery)
         log.info("configuration read again: discovery at %s%s", new.discovery,
                  f"; takes effect at the next start: {', '.join(later)}" if later else "")
 
+    def retune(self, new: Config) -> None:
+        """New settings take hold everywhere between two rounds. Open messages keep what they came under."""
+        s = replace(new.settings, ends_told=True)
+        self.derive(s)
+        self.server.settings = s
+        self.pool.settle(new.report_fields, s.conn_idle_us, s.dial_timeout_us)
+        self.figures.cover(c.name for c in s.classes)
+        self.store.settle(Rules(s.max_attempts, s.classes))
+        self.post(i.Retuned(s))
+        self.round()
+
+    def derive(self, s: i.Settings) -> None:
+        self.batches = {k.name: k.batch for k in s.kinds}
+        self.apart = {k.name for k in s.kinds if k.routes_apart}
+
     def share_sockets(self, sockets: int) -> None:
         """A share of the descriptors for each side; the rest is for files, discovery and the listener."""
         self.server.most, self.pool.most = max(8, sockets // 2), max(8, sockets // 3)
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -3,7 +3,8 @@
 Records are a length, a checksum and a payload: a line of JSON and, for a taken message, its body. A plain
 write is enough, since the files outlast the process without a sync. Kinds, by the first item of the line:
   taken [id, class, destination, due, key, tenant, attempts, ran_at, ran_on, [[number, at, host]...],
-    order key] + body; journals of before the order key end before it
+    order key, rules] + body; older journals end before these
+  rules [number, attempts, [class...]]: the classes that messages were taken on under, and their attempts
   attempt [id, number, at, host], before the call's first byte; outcome [id, number, may have run]
   over [id]; owed [id, state, after_ms, order key], an end that the platform has not acknowledged;
     told [id]
@@ -21,10 +22,13 @@
 import struct
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field, fields
+from enum import Enum
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from lemonshunt import interface as i
+
 HEAD = struct.Struct("<II")
 MOST_RECORD = 1 << 21
 BLOCK = 512
@@ -51,12 +55,21 @@
     ran_at_us: int = -1
     ran_on: str = ""
     out: dict[int, tuple[int, str]] = field(default_factory=dict)
+    rules: int = -1
+    """What it was taken on under; -1 where that is not known."""
 
     @property
     def size(self) -> int:
         return len(self.body) + len(self.id) + len(self.order_key or "") + PER_MESSAGE
 
 
+class Rules(NamedTuple):
+    """What a message keeps, also when the settings change: its class, and how many attempts it has."""
+
+    attempts: int
+    classes: tuple[i.MessageClass, ...]
+
+
 class Owed(NamedTuple):
     """An end that the platform has not acknowledged."""
 
@@ -70,11 +83,13 @@
 
     def __init__(self, folder: Path, most_bytes: int) -> None:
         self.path, self.spare = folder / "journal", folder / "journal.new"
-        self.most = most_bytes - 2 * BLOCK
+        self.most = self.bound(most_bytes)
         self.messages: dict[str, Taken] = {}
         self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
+        self.rules: dict[int, Rules] = {}
+        self.current = -1
         self.seq, self.source = -1, ""
         self.live, self.size, self.list_size, self.failed = 0, 0, 0, False
         self.pending: list[bytes] = []
@@ -83,6 +98,10 @@
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         self.replay()
 
+    @staticmethod
+    def bound(most_bytes: int) -> int:
+        return most_bytes - 2 * BLOCK
+
     # Reading
 
     def replay(self) -> None:
@@ -91,7 +110,8 @@
         at = 0
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
-            "owed": self._owed, "told": self._told, "list": self._list, "outage": self._outage}
+            "owed": self._owed, "told": self._told, "list": self._list, "outage": self._outage,
+            "rules": self._rules}
         while at + HEAD.size <= len(data):
             length, check = HEAD.unpack_from(data, at)
             payload = data[at + HEAD.size:at + HEAD.size + length]
@@ -114,7 +134,7 @@
         name, cls, destination, due, key, tenant, attempts, ran_at, ran_on, out, *later = rest
         m = Taken(name, cls, destination, due, key, tenant, body, later[0] if later else None,
                   attempts, ran_at, ran_on,
-                  {n: (at, host) for n, at, host in out})
+                  {n: (at, host) for n, at, host in out}, later[1] if len(later) > 1 else -1)
         self.messages[m.id] = m
         self.live += m.size
 
@@ -153,6 +173,10 @@
         self.hosts = {h["host"]: h for h in rest[1]}
         self.list_size = 200 * len(self.hosts)
 
+    def _rules(self, rest: list[Any], body: bytes = b"") -> None:
+        self.current, attempts, classes = rest
+        self.rules[self.current] = Rules(attempts, tuple(map(_class, classes)))
+
     def _outage(self, rest: list[Any], body: bytes = b"") -> None:
         host, since, back = rest
         if since < 0:
@@ -162,7 +186,23 @@
 
     # Writing
 
+    def settle(self, rules: Rules) -> None:
+        """Messages are taken on under these from now on."""
+        if self.rules.get(self.current) != rules:
+            self.current = max(self.rules, default=-1) + 1
+            self.rules[self.current] = rules
+            self.pending.append(self._kept(self.current))
+
+    def _kept(self, number: int) -> bytes:
+        rules = self.rules[number]
+        return _record(("rules", number, rules.attempts, [asdict(c) for c in rules.classes]))
+
+    def class_of(self, m: Taken) -> i.MessageClass | None:
+        rules = self.rules.get(m.rules)
+        return next((c for c in rules.classes if c.name == m.class_name), None) if rules else None
+
     def take(self, m: Taken) -> None:
+        m.rules = self.current
         self.messages[m.id] = m
         self.live += m.size
         self.pending.append(self._message(m))
@@ -210,7 +250,7 @@
     def _message(self, m: Taken) -> bytes:
         out = [[n, at, host] for n, (at, host) in m.out.items()]
         return _record(("taken", m.id, m.class_name, m.destination, m.due_us, m.key, m.tenant,
-                        m.attempts, m.ran_at_us, m.ran_on, out, m.order_key), m.body)
+                        m.attempts, m.ran_at_us, m.ran_on, out, m.order_key, m.rules), m.body)
 
     def has_room(self, more: int) -> bool:
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
@@ -245,7 +285,10 @@
 
     def compact(self) -> bool:
         """Write what still counts into a new file, and put it in the old one's place."""
-        records = [_record(("list", self.seq, [*self.hosts.values()], self.source))]
+        named = {m.rules for m in self.messages.values()}  # the one in force stands last
+        self.rules = {n: r for n, r in self.rules.items() if n in named or n == self.current}
+        records = [self._kept(n) for n in sorted(self.rules, key=lambda n: (n == self.current, n))]
+        records += [_record(("list", self.seq, [*self.hosts.values()], self.source))]
         records += [_record(("outage", h, *o)) for h, o in self.outages.items()]
         records += [self._message(m) for m in self.messages.values()]
         records += [_record(("owed", name, *end)) for name, end in self.owed.items()]
@@ -272,5 +315,17 @@
 
 
 def _record(line: tuple[Any, ...], body: bytes = b"") -> bytes:
-    payload = json.dumps(line, separators=(",", ":")).encode() + b"\n" + body
+    payload = json.dumps(line, separators=(",", ":"), default=_word).encode() + b"\n" + body
     return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _word(value: object) -> str:
+    if isinstance(value, Enum):
+        return str(value.value)
+    raise TypeError(f"cannot be journaled: {value!r}")
+
+
+def _class(told: dict[str, Any]) -> i.MessageClass:
+    """A class as it was written; what a later program added to it is passed over."""
+    known = {f.name: told[f.name] for f in fields(i.MessageClass) if f.name in told}
+    return i.MessageClass(**{**known, "effect": i.Effect(told["effect"]), "scope": i.Scope(told["scope"])})
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -19,6 +19,8 @@
     number: int
     key: str | None
     over_share: bool
+    most: int
+    """Attempts that it was taken on with."""
     attempts: int = 0
     out: int = 0
     ran_at: int = -1
@@ -38,6 +40,7 @@
     zone: str
     weight: float
     place: Place
+    kind: str = ""
     batch: int = 1
     """Messages in one call at most."""
     apart: bool = False
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -1,4 +1,4 @@
-"""What operators do day to day, on the real program: the second address and the figures."""
+"""What operators do day to day, on the real program: the second address, figures, settings at SIGHUP."""
 
 from __future__ import annotations
 
@@ -9,9 +9,32 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
-from tests.sockets import OK, PATIENCE, ROOT, SETTINGS, Answer, Platform, always, free_port, hang
-from tests.test_node import node_on, play, target
+import pytest
+
+from tests.sockets import OK, PATIENCE, ROOT, SETTINGS, Answer, Node, Platform, always, free_port, hang
+from tests.test_node import configure, node_on, play, target
+
+
+def classes(**changes: dict[str, Any] | None) -> dict[str, Any]:
+    """The settings with some classes changed, added or (None) dropped."""
+    kept = {c["name"]: c for c in SETTINGS["services"]}
+    for name, change in changes.items():
+        if change is None:
+            del kept[name]
+        else:
+            kept[name] = {**SETTINGS["services"][0], **kept.get(name, {}), "name": name, **change}
+    return {**SETTINGS, "services": list(kept.values())}
+
+
+async def hang_up(node: Node, key: str = "cfg_accepted", **changes: Any) -> None:
+    """SIGHUP on a changed file, until the figures show that it was read."""
+    before = (await node.figures())[key]
+    if changes:
+        configure(node, **changes)
+    node.process.send_signal(signal.SIGHUP)
+    await node.shows(lambda f: f[key] > before)
 
 
 def test_each_end_is_counted_once_and_what_was_taken_is_ended_or_open(tmp_path: Path) -> None:
@@ -110,3 +133,88 @@
     done = subprocess.run([sys.executable, "-m", "lemonshunt"], cwd=ROOT, env=env, capture_output=True,
                           text=True, timeout=60)
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "'here'" in done.stderr
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_open_messages_keep_a_class_that_is_dropped_or_changed(tmp_path: Path, restart: bool) -> None:
+    """A payment must not go twice though its class may be repeated now, nor a status lack its class."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        pays = await target(platform, hang)
+        other = await target(platform, hang, "s2", block=8)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("pay", "pay"))[0] == 202
+        assert (await node.hand_in("status", "status", dest=8))[0] == 202
+        await pays.got(1)
+        await other.got(1)
+        assert (await node.hand_in("n", "fresh"))[0] == 404
+        await hang_up(node, settings=classes(pay={"effect": "repeatable"}, status=None, fresh={}))
+        assert (await node.hand_in("n", "fresh"))[0] == 202
+        assert (await node.hand_in("o", "status"))[0] == 404
+        f = await node.figures()
+        assert f["fulfilled"] == {"order": 0, "status": 0, "turns": 0, "pay": 0, "fresh": 0}
+        if restart:
+            pays.handler = other.handler = always(OK)
+            await node.restart()
+            await other.got(2)  # the status goes again under its old class
+        else:
+            other.handler = always(OK)
+            for peer in (pays, other):
+                for request in list(peer.requests):
+                    request.writer.transport.abort()
+            await other.got(2)
+        assert (await platform.notice("pay"))["state"] == "failed"
+        assert [r.headers["x-correlation-id"] for r in pays.requests].count("pay") == 1
+        assert (await node.hand_in("p", "pay", dest=8))[0] == 202  # and a new one has the new effect
+    play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_open_messages_keep_the_attempts_they_came_with(tmp_path: Path, restart: bool) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        wait = always(Answer(429, {"X-RateLimit-Wait-Ms": "1500"}), Answer(500))
+        peer = await target(platform, wait)
+        node = await node_on(folder, platform, max_attempts=2)
+        assert (await node.hand_in("m", "status"))[0] == 202
+        await peer.got(1)
+        await hang_up(node, settings={**SETTINGS, "allowed": {**SETTINGS["allowed"], "max_attempts": 6}})
+        if restart:
+            await node.restart()
+        assert (await platform.notice("m"))["state"] == "returned"
+        assert len(peer.requests) == 2
+    play(scene, tmp_path)
+
+
+def broken(node: Node) -> list[str]:
+    whole = json.loads((node.folder / "config.json").read_text())
+    text = json.dumps(whole)
+
+    def settings(**changes: Any) -> str:
+        return json.dumps({**whole, "settings": {**whole["settings"], **changes}})
+    some = whole["settings"]["services"]
+    allowed = whole["settings"]["allowed"]
+    return [
+        "", text[:len(text) // 2], json.dumps({k: v for k, v in whole.items() if k != "settings"}),
+        json.dumps({k: v for k, v in whole.items() if k != "limits"}),
+        settings(allowed={k: v for k, v in allowed.items() if k != "max_attempts"}),
+        settings(allowed={**allowed, "max_attempts": 0}), settings(allowed={**allowed, "max_attempts": -3}),
+        settings(services=[{**some[0], "name": "new", "deadline_us": 0}, *some[1:]]),
+        settings(services=[{k: v for k, v in some[0].items() if k != "aim_us"}, *some[1:]]),
+        settings(services=[{**some[0], "aim_us": "1"}]),
+    ]
+
+
+def test_broken_files_change_nothing_and_are_counted(tmp_path: Path) -> None:
+    """None of what they hold may take hold, and a default must not stand in for a key."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        files = broken(node)
+        for n, text in enumerate(files):
+            (folder / "config.json").write_text(text)
+            await hang_up(node, "cfg_invalid")
+            assert (await node.hand_in(f"new{n}", "new"))[0] == 404
+            assert (await node.hand_in(f"m{n}"))[0] == 202
+        await peer.got(len(files))
+        f = await node.figures()
+        assert (f["cfg_accepted"], f["cfg_invalid"]) == (0, len(files))
+    play(scene, tmp_path)
