Let operators take an endpoint out and put it back, journaled before the yes

The set of names is kept by the engine and journaled; the module treats such a target as draining, whatever the list says, and as back from an outage once it is put back. The tests fail without the change (404).

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -74,6 +74,7 @@
         self.ask_pause, self.cleared_at, self.shed_at = ASK_AGAIN_US, now, now - FORGET_US
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.lines: dict[str, Line] = {}
+        self.detached: set[int] = set()
         self.owed: dict[str, str] = {}
         """The order key of each message whose final answer is still on its way."""
         self.purses: dict[str, int] = {}
@@ -131,6 +132,11 @@
                     self.ended(event)
                 case i.Listed():
                     self.listed(event)
+                case i.Detached():
+                    self.detached.add(event.target)
+                    self.sort_targets()
+                case i.Attached() if event.target in self.detached:
+                    self.attached(event.target)
                 case i.Retuned():
                     self.retuned(event.settings)
                 case i.Withdrawn() if event.message in self.messages:
@@ -173,16 +179,34 @@
                 known = self.targets[e.target] = Target(
                     e.target, e.destination, e.zone, e.weight, place, e.kind, kind.batch, kind.routes_apart)
             known.zone, known.weight, known.serving = e.zone, e.weight, e.state is i.TargetState.SERVING
-        gone = [t for t in self.targets.values() if not t.serving and not t.out]
+        gone = [t for t in self.targets.values() if not (t.serving or t.out or t.id in self.detached)]
         for t in gone[:max(0, len(gone) - MOST_GONE)]:  # replaced targets must not pile up over months
             del self.targets[t.id]
             if t.apart:
                 self.places.pop((t.destination, t.id), None)
+        self.sort_targets()
+
+    def sort_targets(self) -> None:
+        """Only those that serve by the list and by the operators' word get anything."""
         self.by_destination = {}
-        for target in filter(lambda t: t.serving, self.targets.values()):
-            self.by_destination.setdefault(target.destination, []).append(target)
+        for target in self.targets.values():
+            if target.serving and target.id not in self.detached:
+                self.by_destination.setdefault(target.destination, []).append(target)
         self.looks.update(self.held.piles)
 
+    def attached(self, target: int) -> None:
+        """Back from a restart: nothing of before holds, and it is warmed like one back from an outage."""
+        self.detached.discard(target)
+        self.sort_targets()
+        t = self.targets.get(target)
+        if t is None:
+            return
+        t.failing, t.idle_at, t.spread = 0.0, -1, 1.0
+        t.outage_at = t.back_at = t.tried_at = self.now
+        if t.apart:
+            t.place.window, t.place.mean, t.place.mean_at, t.place.rest = 1.0, 0.0, -1, 0
+        self.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
+
     def arrived(self, event: i.Arrived) -> None:
         """Take a message. One of an unknown class is failed: its effect is not known."""
         cls = self.classes.get(event.class_name)
@@ -444,7 +468,7 @@
     def avoids(self, target: int) -> bool:
         """Whether a target gets nothing now, or nothing while another of its destination is sound."""
         t = self.targets.get(target)
-        return t is None or not t.serving or (t.outage_at >= 0 and t.back_at < 0)
+        return t is None or not t.serving or target in self.detached or (t.outage_at >= 0 and t.back_at < 0)
 
     def cap(self, place: Place) -> float:
         """The window's top: three quarters of the slots, half while failing or slow, never under one."""
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -255,6 +255,20 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class Detached:
+    """Operators take a target out: it counts as draining until they put it back, whatever the list says."""
+
+    target: int
+
+
+@dataclass(frozen=True, slots=True)
+class Attached:
+    """Operators put a target back. It was restarted meanwhile: it is cold, and what was learned is void."""
+
+    target: int
+
+
 @dataclass(frozen=True, slots=True)
 class Retuned:
     """Other settings hold from now on. Messages taken on before keep their class and their attempts."""
@@ -275,8 +289,8 @@
     report: LoadReport | None = None
 
 
-Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | Retuned
-         | TimerDue | Probed)
+Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | Detached
+         | Attached | Retuned | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -97,6 +97,7 @@
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
         self.take_list(known)
         self.events.append(i.Listed(i.ListKind.SAVED, self.entries(known)))
+        self.events += [i.Detached(self.number(name)) for name in kept.detached]
         for name, (since, back) in kept.outages.items():
             if name in self.numbers:
                 self.events.append(i.OutageRecalled(self.numbers[name], since, back))
@@ -260,12 +261,18 @@
                 self.hosts.pop(h.name, None)
             else:
                 self.hosts[h.name] = h
-        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values() if h.health == "up"})
+        self.point_pool()
+
+    def point_pool(self) -> None:
+        """Who may be called: asked again before a call's first byte."""
+        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values()
+                           if h.health == "up" and h.name not in self.store.detached})
 
     def number(self, name: str) -> int:
         """The module's number for a target. Those long gone are forgotten, the oldest first."""
         if len(self.numbers) > len(self.hosts) + MOST_GONE:
-            old = next((n for n in self.numbers if n not in self.hosts), None)
+            old = next((n for n in self.numbers
+                        if n not in self.hosts and n not in self.store.detached), None)
             if old is not None:
                 del self.names[self.numbers.pop(old)]
         if name not in self.numbers:
@@ -456,7 +463,21 @@
         }
 
     def rotate(self, name: str, out: bool, answer: Answer) -> None:
-        answer(HTTPStatus.NOT_FOUND, "no such endpoint\n")
+        """Operators take a target out or put it back; the yes comes once it is journaled and in force."""
+        if name not in self.numbers:
+            answer(HTTPStatus.NOT_FOUND, "no such endpoint\n")
+            return
+        if out is not (name in self.store.detached):
+            log.info("target %d (%s) %s by operators", self.numbers[name], name,
+                     "taken out" if out else "put back")
+            kept = self.store.rotate(name, out)
+            self.point_pool()
+            self.events.append(i.Detached(self.numbers[name]) if out else i.Attached(self.numbers[name]))
+            self.round()
+            if not kept:
+                answer(HTTPStatus.INSUFFICIENT_STORAGE, "in force, but it would not outlast a restart\n")
+                return
+        answer(HTTPStatus.OK, "detached\n" if out else "attached\n")
 
     # Notices
 
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -10,6 +10,7 @@
     told [id]
   list [seq, hosts, source]: the last list and the discovery that told it, since `known` may be older than
     what this forwarder was told of drains
+  out [host, whether]: taken out by operators, or put back
   outage [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too.
 Waits are not kept: a restart ends them. Windows and means are not either: they are soon learned anew.
 """
@@ -88,6 +89,7 @@
         self.owed: dict[str, Owed] = {}
         self.outages: dict[str, tuple[int, int]] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
+        self.detached: dict[str, None] = {}
         self.rules: dict[int, Rules] = {}
         self.current = -1
         self.seq, self.source = -1, ""
@@ -111,7 +113,7 @@
         readers: dict[str, Callable[[list[Any], bytes], None]] = {
             "taken": self._taken, "attempt": self._attempt, "outcome": self._outcome, "over": self._over,
             "owed": self._owed, "told": self._told, "list": self._list, "outage": self._outage,
-            "rules": self._rules}
+            "rules": self._rules, "out": self._out}
         while at + HEAD.size <= len(data):
             length, check = HEAD.unpack_from(data, at)
             payload = data[at + HEAD.size:at + HEAD.size + length]
@@ -177,6 +179,13 @@
         self.current, attempts, classes = rest
         self.rules[self.current] = Rules(attempts, tuple(map(_class, classes)))
 
+    def _out(self, rest: list[Any], body: bytes = b"") -> None:
+        name, out = rest
+        if out:
+            self.detached[name] = None
+        else:
+            self.detached.pop(name, None)
+
     def _outage(self, rest: list[Any], body: bytes = b"") -> None:
         host, since, back = rest
         if since < 0:
@@ -244,6 +253,13 @@
         self._outage([host, since_us, back_us])
         self.append("outage", host, since_us, back_us)
 
+    def rotate(self, host: str, out: bool) -> bool:
+        """Taken out or put back, and journaled at once. Returns whether the record is on disk."""
+        self._out([host, out])
+        self.append("out", host, out)
+        self.flush()
+        return not self.failed
+
     def append(self, *line: Any) -> None:
         self.pending.append(_record(line))
 
@@ -254,7 +270,7 @@
 
     def has_room(self, more: int) -> bool:
         """Whether one more message of that size leaves room for a compacted file beside the old one."""
-        others = 200 * len(self.owed) + self.list_size + 100 * len(self.outages)
+        others = 200 * len(self.owed) + self.list_size + 100 * (len(self.outages) + len(self.detached))
         return not self.failed and 2 * (self.live + more + PER_MESSAGE + others) + ROOM <= self.most
 
     def flush(self) -> None:
@@ -289,6 +305,7 @@
         self.rules = {n: r for n, r in self.rules.items() if n in named or n == self.current}
         records = [self._kept(n) for n in sorted(self.rules, key=lambda n: (n == self.current, n))]
         records += [_record(("list", self.seq, [*self.hosts.values()], self.source))]
+        records += [_record(("out", h, True)) for h in self.detached]
         records += [_record(("outage", h, *o)) for h, o in self.outages.items()]
         records += [self._message(m) for m in self.messages.values()]
         records += [_record(("owed", name, *end)) for name, end in self.owed.items()]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -288,3 +288,26 @@
     later = d.handle(first.timeout_us, [end(first, LATE, took=first.timeout_us)])
     again = sends(later) or [a for _, a in sweep(d, first.timeout_us + MS, 9 * S) if isinstance(a, i.Send)]
     assert again[0].timeout_us >= 2 * first.timeout_us
+
+
+def test_detached_target_is_out_whatever_the_list_says_and_comes_back_cold() -> None:
+    two = (i.TargetEntry(1, 10, "north", "plain"), i.TargetEntry(2, 10, "north", "plain"))
+    d = started(two)
+    assert d.handle(0, [i.Detached(1), i.Detached(1)]) is not None and d.avoids(1)
+    d.handle(1, [i.Listed(i.ListKind.CHANGES, (i.TargetEntry(1, 10, "north", "plain", i.TargetState.GONE),))])
+    d.handle(2, [i.Listed(i.ListKind.WHOLE, two)])
+    for n in range(20):
+        out = sends(d.handle(n * S + 3, [ask(f"m{n}", due=60 * S)]))
+        assert [s.target for s in out] == [2]
+        d.handle(n * S + 100 * MS, [end(out[0], OK)])
+    back = d.handle(21 * S, [i.Attached(1)])
+    assert i.Outage(1, 21 * S, 21 * S) in back and d.cold(d.targets[1]) and not d.avoids(1)
+    d.handle(22 * S, [i.Detached(2)])
+    assert [s.target for s in sends(d.handle(29 * S, [ask("late", due=60 * S)]))] == [1]
+    assert d.cold(d.targets[1]) and not d.cold(d.targets[2])
+
+
+def test_put_back_though_never_out_changes_nothing() -> None:
+    d = started(ONE)
+    assert not any(isinstance(a, i.Outage) for a in d.handle(0, [i.Attached(1)]))
+    assert not d.cold(d.targets[1])
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -218,3 +218,52 @@
         f = await node.figures()
         assert (f["cfg_accepted"], f["cfg_invalid"]) == (0, len(files))
     play(scene, tmp_path)
+
+
+async def relist(platform: Platform, name: str, health: str) -> None:
+    """Discovery's own word on an endpoint, until the forwarder has asked for what comes after it."""
+    await platform.change(name, health)
+    await platform.until(lambda: any(f"from={platform.seq}&" in r.path for r in platform.requests))
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_detached_endpoint_gets_nothing_until_put_back_whatever_discovery_says(
+        tmp_path: Path, restart: bool) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        first = await target(platform, always(OK))
+        other = await target(platform, always(OK), "s2")
+        node = await node_on(folder, platform)
+        for _ in range(2):  # two calls out need one back
+            assert (await node.operate("POST", "/_endpoints/detach", b"s1\n"))[0] == 200
+        if restart:
+            await node.restart()
+        for health in ("draining", "up", "removed", "up"):
+            await relist(platform, "s1", health)
+        assert (await node.figures())["out_of_rotation"] == 1
+        for n in range(8):
+            assert (await node.hand_in(f"m{n}"))[0] == 202
+            await other.got(n + 1)
+        assert not first.requests
+        assert (await node.operate("POST", "/_endpoints/attach", b"s1"))[0] == 200
+        assert (await node.operate("POST", "/_endpoints/detach", b"s2"))[0] == 200
+        assert (await node.hand_in("back"))[0] == 202
+        await first.got(1)
+        assert (await node.figures())["out_of_rotation"] == 1
+        await node.restart()
+        assert (await node.operate("POST", "/_endpoints/attach", b"s2"))[0] == 200
+        assert (await node.figures())["out_of_rotation"] == 0
+    play(scene, tmp_path)
+
+
+def test_detached_endpoint_keeps_no_connection(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        first = await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("a"))[0] == 202
+        await node.shows(lambda f: f["fulfilled"]["order"] == 1)
+        assert (await node.operate("POST", "/_endpoints/detach", b"s1"))[0] == 200
+        await first.until(lambda: first.closed == 1)
+        assert (await node.operate("POST", "/_endpoints/attach", b"s1"))[0] == 200
+        assert (await node.hand_in("b"))[0] == 202
+        await first.got(2)
+    play(scene, tmp_path)
