Hand over to a new version that starts while this one serves

What it does not hold (windows, waits, rests, calls out) is told over a Unix socket; the old process then only ends its calls and passes on requests that come over its connections.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -11,19 +11,28 @@
 from lemonshunt.net.admin import Admin
 from lemonshunt.net.config import Config, ConfigError, load
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.handover import Lock, claim
 
 
 async def serve(config: Config) -> None:
     admin = Admin()
     if config.admin is not None:
         await admin.listen(config.admin)
-    admin.operated = engine = Engine(config)
+    lock = Lock(config.state)
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, engine.stop)
-    loop.add_signal_handler(signal.SIGINT, engine.stop)
-    loop.add_signal_handler(signal.SIGHUP, engine.reload)
-    gc.freeze()  # what is made at the start stays: it need not be looked through again and again
-    await engine.run()
+    before: Engine | None = None
+    again = True
+    while again:
+        successor = await claim(lock, config.state)
+        admin.operated = engine = Engine(config, lock, successor)
+        if before is not None:
+            engine.answer_for(before)
+        loop.add_signal_handler(signal.SIGTERM, engine.stop)
+        loop.add_signal_handler(signal.SIGINT, engine.stop)
+        loop.add_signal_handler(signal.SIGHUP, engine.reload)
+        gc.freeze()  # what is made at the start stays: it need not be looked through again and again
+        again = await engine.run()
+        config, before = engine.config, engine
     admin.close()
 
 
--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -8,11 +8,27 @@
 
 import random
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping, Set
+from typing import Any
 
 from lemonshunt import interface as i
 from lemonshunt.interface import Outcome
-from lemonshunt.state import Agenda, Attempt, Call, Held, Line, Message, Place, Target
+from lemonshunt.state import (
+    CALL_KEPT,
+    MESSAGE_KEPT,
+    PLACE_KEPT,
+    TARGET_KEPT,
+    Agenda,
+    Attempt,
+    Call,
+    Held,
+    Line,
+    Message,
+    Place,
+    Target,
+    kept,
+    learn,
+)
 
 SECOND = 1_000_000  # us
 GROUP_RANGE = 0.4  # Gr, share of the least time left: the paper's value; larger was no better
@@ -139,6 +155,8 @@
                     self.attached(event.target)
                 case i.Retuned():
                     self.retuned(event.settings)
+                case i.Remembered():
+                    self.remember(event.memory)
                 case i.Withdrawn() if event.message in self.messages:
                     self.over(self.messages[event.message])
                 case i.EndOwed():
@@ -239,6 +257,62 @@
         if m.key is not None and event.cut_off:
             self.lines[m.key].rest_until = self.now + self.s.key_rest_us
 
+    def memory(self, out: Set[tuple[str, int]]) -> dict[str, Any]:
+        """What a process that takes over must know beside the messages; the attempts `out` are on their way.
+        Numbers of targets are as they are here."""
+        calls: dict[int, tuple[Call, list[tuple[str, int]]]] = {}
+        for named, attempt in self.attempts.items():
+            if named in out:
+                calls.setdefault(id(attempt.call), (attempt.call, []))[1].append(named)
+        return {
+            "targets": [[t.id, t.destination, t.kind, kept(t, TARGET_KEPT)] for t in self.targets.values()],
+            "places": [[*whose, kept(p, PLACE_KEPT)] for whose, p in self.places.items()],
+            "messages": [[m.id, kept(m, MESSAGE_KEPT)] for m in self.messages.values()],
+            "lines": [[key, line.rest_until] for key, line in self.lines.items()],
+            "calls": [[c.target.id, kept(c, CALL_KEPT), names] for c, names in calls.values()],
+            "purses": self.purses, "idle_us": self.idle_us,
+        }
+
+    def remember(self, told: Mapping[str, Any]) -> None:
+        """Go on where the process before stopped. What it does not tell, or of what is gone, is left out."""
+        for number, destination, kind, known in told.get("targets", []):
+            if number not in self.targets:  # gone from the list, perhaps with a call still out
+                apart = self.kinds.get(kind, i.DestinationKind(kind)).routes_apart
+                self.targets[number] = Target(number, destination, "", 0.0,
+                                              self.place(destination, number, apart), kind, 1, apart, False)
+            learn(self.targets[number], known, TARGET_KEPT)
+        for destination, number, known in told.get("places", []):
+            if (destination, number) in self.places:
+                learn(self.places[destination, number], known, PLACE_KEPT)
+        for name, known in told.get("messages", []):
+            if name in self.messages:
+                learn(self.messages[name], known, MESSAGE_KEPT)
+        for key, rest_until in told.get("lines", []):
+            line = self.lines.setdefault(key, Line())
+            line.rest_until = max(line.rest_until, rest_until)
+            self.next_in(line)
+        for number, known, names in told.get("calls", []):
+            self.still_out(number, known, [(name, n) for name, n in names if name in self.messages])
+        self.purses.update(told.get("purses", {}))
+        self.idle_us = min(self.idle_top, told.get("idle_us", self.idle_us))
+
+    def still_out(self, number: int, known: Mapping[str, Any], names: list[tuple[str, int]]) -> None:
+        """A call of the process before takes its slot here until its outcomes are told."""
+        target = self.targets.get(number)
+        if target is None or not names:
+            return
+        call = Call(target, self.now)
+        learn(call, known, CALL_KEPT)
+        self.calls_out += 1
+        target.out, target.place.out = target.out + 1, target.place.out + 1
+        for named in names:
+            m = self.messages[named[0]]
+            call.messages, m.out = call.messages + 1, m.out + 1
+            self.held.remove(m)
+            self.attempts[named] = Attempt(m, call)
+            if m.key is not None:
+                self.lines[m.key].out += 1
+
     def over_share(self, name: str | None) -> bool:
         """Whether a tenant has spent our part of its share; what goes beyond is worth little."""
         tenant = self.tenants.get(name or "")
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -276,6 +277,14 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Remembered:
+    """What `Dispatcher.memory` told in the process before, of whose calls some are still out. Comes after the
+    list and all that was recalled."""
+
+    memory: Mapping[str, Any]
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: str
@@ -290,7 +299,7 @@
 
 
 Event = (Listed | Arrived | Recalled | OutageRecalled | Ended | Withdrawn | EndOwed | EndTold | Detached
-         | Attached | Retuned | TimerDue | Probed)
+         | Attached | Retuned | Remembered | TimerDue | Probed)
 
 
 # Actions
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -368,11 +368,7 @@
         del call.open[item.id]
         self.calls.pop((item.id, item.attempt), None)
         if result.wait_us:
-            now = self.clock()
-            until = now + result.wait_us
-            if len(self.waits) > MOST_WAITS:
-                self.waits = {place: end for place, end in self.waits.items() if end > now}
-            self.waits[call.place] = max(until, self.waits.get(call.place, 0))
+            self.bind(call.place, self.clock() + result.wait_us)
         if not call.open:
             self.out -= 1
         self.sink(i.Ended(item.id, item.attempt, call.target, result.outcome, self.clock() - call.sent_us,
@@ -476,6 +472,25 @@
             if connection in held:
                 held.remove(connection)
 
+    def cut_dials(self) -> None:
+        """What is not on a connection yet goes back unsent."""
+        for call in {id(c): c for c in self.calls.values()}.values():
+            if call.connection is None:
+                self.finish(call, Result(Outcome.NOT_SENT))
+
+    def retire(self) -> None:
+        """Only end what is out: no connection is kept any more."""
+        self.idle_us = 0
+        for target in list(self.idle):
+            self.close_idle(target)
+
+    def bind(self, place: tuple[int, int], until: int) -> None:
+        """A wait that was told."""
+        if len(self.waits) > MOST_WAITS:
+            now = self.clock()
+            self.waits = {p: end for p, end in self.waits.items() if end > now}
+        self.waits[place] = max(until, self.waits.get(place, 0))
+
     def close(self) -> None:
         for connection in list(self.all):
             connection.close()
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -70,6 +70,8 @@
     report_fields: tuple[str, ...]
     admin: Address | None = None
     """Where operators call; None where that is not wanted."""
+    inherited: int | None = None
+    """The descriptor of the clients' listening socket, where the platform holds it."""
     raw: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
     """As it was read, but for the list: what a file that replaces it must have too."""
 
@@ -81,6 +83,18 @@
     return Address(host, int(port))
 
 
+def descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise Malformed(f"LB_INHERITED_FD is no descriptor: {text!r}")
+    try:
+        os.fstat(int(text))
+    except (OSError, OverflowError):
+        raise Malformed(f"LB_INHERITED_FD is not open: {text}") from None
+    return int(text)
+
+
 def host(raw: Any) -> Host:
     health = need(raw, "health", str)
     if health not in HEALTH:
@@ -159,6 +173,7 @@
             settings=settings(facts),
             report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
             admin=address(admin) if admin else None,
+            inherited=descriptor(environ.get("LB_INHERITED_FD")),
             raw={**told, "known": None},
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -128,6 +128,13 @@
         if self.wanted:
             self.subscribe()
 
+    def pause(self) -> None:
+        """Nothing of the list is told any more until it is asked for again."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.client.close()
+
     async def follow(self) -> None:
         while True:
             path, wait = "/discovery/hosts", ANSWER_S
@@ -183,6 +190,13 @@
         self.client, self.task = Client(where), None
         self.kick()
 
+    def pause(self) -> None:
+        """Post nothing until the next kick. A post that is cut off is made again: that does no harm."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.client.close()
+
     async def run(self) -> None:
         failures = 0
         while True:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -11,6 +11,7 @@
 import logging
 import time
 from collections import Counter, OrderedDict
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
@@ -21,7 +22,8 @@
 from lemonshunt.net.client import Call, Item, Pool, fits
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, replacement
 from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
-from lemonshunt.net.server import Door, Handed, Server
+from lemonshunt.net.handover import Line, Lock, Predecessor, Successor
+from lemonshunt.net.server import Asker, Handed, Server
 from lemonshunt.net.store import Owed, Rules, Store, Taken
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
@@ -54,10 +56,13 @@
 
 
 class Engine:
-    def __init__(self, config: Config) -> None:
-        self.config, self.clock = config, Clock()
+    """With a `successor`, it takes over from a process that still runs: nothing is written until that has let
+    go of the journal. The clock, the numbers of targets and what the module knows go on from there."""
+
+    def __init__(self, config: Config, lock: Lock | None = None, successor: Successor | None = None) -> None:
+        self.config, self.clock, self.lock, self.successor = config, Clock(), lock, successor
         s = replace(config.settings, ends_told=True)
-        self.store = Store(config.state, config.disk_bytes)
+        self.store = Store(config.state, config.disk_bytes, write=successor is None)
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         self.server = Server(s, self.clock, 0, self.hand_in, self.ready)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us, 0)
@@ -69,7 +74,7 @@
         self.names: dict[int, str] = {}
         self.numbered = 0
         self.destinations: set[int] = set()
-        self.arriving: dict[str, tuple[Handed, Door]] = {}
+        self.arriving: dict[str, tuple[Handed, Asker]] = {}
         self.events: list[i.Event] = []
         self.scheduled = False
         self.round_us = 0
@@ -80,7 +85,10 @@
         self.counts: Counter[str] = Counter()
         self.figures = Figures()
         self.figures.cover(c.name for c in s.classes)
-        self.serving = False
+        self.serving = self.holding = self.again = False
+        self.predecessor = Predecessor(self)
+        self.remote: dict[tuple[str, int], tuple[int, int]] = {}  # calls still out at the process before
+        self.later: list[Callable[[], None]] = []  # asked while all stands still for a handover
         self.summed_s = time.monotonic()
         self.done = asyncio.Event()
         seq = self.recover()
@@ -93,6 +101,8 @@
     def recover(self) -> int:
         """Tell the module what the journal holds. Returns the version of the list that is newest."""
         known, kept = self.config.known, self.store
+        memory = self.successor.memory if self.successor is not None else {}
+        self.remember(memory)
         if kept.seq >= known.seq:  # `known` may be older than what this forwarder was told of drains
             known = HostList(kept.seq, True, tuple(host(raw) for raw in kept.hosts.values()))
         self.take_list(known)
@@ -107,36 +117,89 @@
         for m in kept.messages.values():
             if m.rules not in kept.rules:  # of an older journal
                 m.rules = kept.current
-            cut_off = bool(m.out)
-            for number in list(m.out):
+            cut = [number for number in m.out if (m.id, number) not in self.remote]
+            cut_off = bool(cut)
+            for number in cut:
                 kept.outcome(m, number, True)  # its outcome is not known: it may have run
             self.events.append(i.Recalled(
                 m.id, m.destination, m.class_name, m.due_us, m.order_key, m.tenant, m.attempts, m.ran_at_us,
                 self.number(m.ran_on) if m.ran_on else -1, cut_off, kept.class_of(m),
                 kept.rules[m.rules].attempts))
+        if memory:
+            self.events.append(i.Remembered(memory["module"]))
         self.figures.taken = len(kept.messages)
         if kept.messages or kept.owed:
             log.info("took up %d messages and %d owed ends again", len(kept.messages), len(kept.owed))
         return known.seq
 
-    async def run(self) -> None:
+    def remember(self, memory: Line) -> None:
+        """What the process before told beside its journal."""
+        if not memory:
+            return
+        self.numbers = dict(memory["numbers"])
+        self.names = {number: name for name, number in self.numbers.items()}
+        self.numbered = memory["numbered"]
+        self.recent = OrderedDict.fromkeys(memory["recent"])
+        self.pool.waits = {(destination, route): until for destination, route, until in memory["waits"]}
+        now = self.clock()
+        self.remote = {(name, n): (number, known.get("sent_at", now))
+                       for number, known, names in memory["module"]["calls"] for name, n in names}
+        self.share_sockets(self.config.sockets - memory["descriptors"])
+
+    async def take_over(self) -> bool:
+        """All is read; the process before lets go, and this one is the writer."""
+        assert self.successor is not None and self.lock is not None
+        if not await self.successor.prepared():
+            return False
+        await self.lock.wait()
+        self.store.begin()
+        return True
+
+    async def run(self) -> bool:
+        """Serve until told to stop. Returns whether to start again from the journal."""
         where = self.config.listen
+        if self.successor is not None and not await self.take_over():
+            self.closed = True
+            return True
         self.round()
         self.watch.subscribe()  # over sockets the list comes to nobody who does not ask, 'pushed' or not
         self.notices.kick()
-        await self.server.listen(where.host, where.port)
+        await self.server.listen(where.host, where.port, self.config.inherited)
+        if self.successor is not None:
+            self.successor.attach(self)
+        if self.lock is not None:
+            await self.predecessor.listen(self.config.state)
         self.serving = True
         log.info("ready")
         self.tick(time.monotonic())
         await self.done.wait()
         self.frozen = self.closed = True
-        await self.server.close()
+        self.watch.pause()
+        self.notices.pause()
         self.pool.close()
-        self.store.close()
+        if self.again:  # who still waits for an answer is told by the engine that comes after
+            return True
+        await self.server.close()
+        self.predecessor.close()
+        if not self.predecessor.given:
+            self.store.close()
+        return False
+
+    def answer_for(self, before: Engine) -> None:
+        """Who handed a message in to a process that had taken over and is gone: the journal knows whether it
+        was taken on."""
+        before.predecessor.close()
+        for name, door in before.predecessor.doors.values():
+            if name in self.store.messages or name in self.store.owed:
+                door.answer(HTTPStatus.ACCEPTED)
+            else:
+                door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not taken on", Retry_After=AWAY_S)
 
     def tick(self, due: float) -> None:
         """Watch the loop, and that no message is past its time without an end: that would break a promise."""
         now = time.monotonic()
+        if self.closed:
+            return
         if now - due > LAG_S and now - self.lag_s > LAG_LOG_S:
             self.lag_s = now
             log.warning("the loop stood still for %d ms", (now - due) * 1000)
@@ -147,8 +210,8 @@
             gc.collect()
         if now - self.summed_s >= SUMMARY_S:
             self.sum_up(now)
-        old = self.clock() - OVERDUE_US
-        for m in [m for m in self.store.messages.values() if m.due_us < old and not self.frozen]:
+        old = 0 if self.frozen or self.holding else self.clock() - OVERDUE_US
+        for m in [m for m in self.store.messages.values() if m.due_us < old]:
             log.error("message %s was left without an end", m.id)
             self.figures.end(self.figures.faulted, m.class_name)
             self.store.owe(m.id, "failed", 0)
@@ -176,6 +239,10 @@
     def post(self, event: i.Event) -> None:
         if self.closed:
             return  # calls that end as the process does are left open in the journal: they may have run
+        if self.predecessor.given:
+            if isinstance(event, i.Ended):
+                self.predecessor.ended(event)
+            return
         if self.frozen and isinstance(event, i.Ended):
             self.book(event)
             self.store.flush()
@@ -184,7 +251,7 @@
         self.schedule()
 
     def schedule(self) -> None:
-        if self.scheduled or self.frozen:
+        if self.scheduled or self.frozen or self.holding:
             return
         self.scheduled = True
         loop = asyncio.get_running_loop()
@@ -194,8 +261,11 @@
         else:
             loop.call_later(wait / SECOND, self.round)
 
-    def hand_in(self, handed: Handed, door: Door) -> None:
+    def hand_in(self, handed: Handed, door: Asker) -> None:
         """A message came in. At the door only what the module never sees is turned away."""
+        if self.predecessor.given:
+            self.predecessor.hand_in(handed, door)
+            return
         if handed.id in self.store.messages or handed.id in self.recent:
             door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or was: it must not be delivered twice
             return
@@ -285,7 +355,7 @@
 
     def round(self) -> None:
         self.scheduled = False
-        if self.frozen:
+        if self.frozen or self.holding:
             return
         now = self.round_us = self.clock()
         events, self.events = self.events, []
@@ -342,13 +412,16 @@
             if isinstance(step, i.CloseIdle):
                 self.pool.close_idle(step.target)
             elif isinstance(step, i.Cancel):
-                self.pool.cancel(step.message, step.attempt)
+                if (step.message, step.attempt) in self.remote and self.successor is not None:
+                    self.successor.link.send(cancel=[step.message, step.attempt])
+                else:
+                    self.pool.cancel(step.message, step.attempt)
             else:
                 self.pool.start(step)
         if self.store.owed:
             self.notices.kick()
 
-    def faulted(self, events: list[i.Event], arriving: dict[str, tuple[Handed, Door]]) -> list[i.Action]:
+    def faulted(self, events: list[i.Event], arriving: dict[str, tuple[Handed, Asker]]) -> list[i.Action]:
         """A fault in a decision must cost its event and neither the process, which holds all the others, nor
         a slot: what was decided till then is booked in the module and so carried out, and the events that it
         has not read come again."""
@@ -372,7 +445,7 @@
             self.schedule()
         return actions
 
-    def turn_away(self, handed: Handed, door: Door, a: i.Refuse | i.Fail) -> None:
+    def turn_away(self, handed: Handed, door: Asker, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
         self.counts["turned away"] += 1
         counts = self.figures.faulted if isinstance(a, i.Fail) else self.figures.throttled
@@ -464,6 +537,12 @@
 
     def rotate(self, name: str, out: bool, answer: Answer) -> None:
         """Operators take a target out or put it back; the yes comes once it is journaled and in force."""
+        if self.predecessor.given:
+            self.predecessor.rotate(name, out, answer)
+            return
+        if self.holding:
+            self.later.append(lambda: self.rotate(name, out, answer))
+            return
         if name not in self.numbers:
             answer(HTTPStatus.NOT_FOUND, "no such endpoint\n")
             return
@@ -497,6 +576,12 @@
     def reload(self) -> None:
         """SIGHUP: read the configuration again. One that cannot hold leaves all as it is."""
         old = self.config
+        if self.predecessor.given:
+            log.info("the new process reads the configuration")
+            return
+        if self.holding:
+            self.later.append(self.reload)
+            return
         try:
             new = replacement(old)
         except ConfigError as error:
@@ -536,12 +621,101 @@
         """A share of the descriptors for each side; the rest is for files, discovery and the listener."""
         self.server.most, self.pool.most = max(8, sockets // 2), max(8, sockets // 3)
 
+    # Handing over to a new process, and taking over from an old one
+
+    def hold(self) -> Line | None:
+        """A new process asks for all: stand still, with everything in the journal, and tell what that lacks.
+        None where it cannot be had now."""
+        if not self.serving or self.leaving_s or self.remote or self.lock is None:
+            return None
+        self.round()
+        self.holding = True
+        self.watch.pause()
+        self.notices.pause()
+        self.pool.cut_dials()
+        for event in self.events:
+            if isinstance(event, i.Ended):
+                self.book(event)
+        self.store.flush()
+        if self.store.failed:
+            self.resume()
+            return None
+        log.info("a new process takes over: %d messages held, %d calls out",
+                 len(self.store.messages), self.pool.out)
+        now = self.clock()
+        return {
+            "numbers": self.numbers, "numbered": self.numbered, "recent": list(self.recent),
+            "waits": [[*place, until] for place, until in self.pool.waits.items() if until > now],
+            "descriptors": len(self.server.doors) + self.pool.out,
+            "module": self.dispatcher.memory(self.pool.calls.keys()),
+        }
+
+    def resume(self) -> None:
+        """The new process is gone before it had anything: go on as if it had not asked."""
+        self.holding = False
+        self.watch.subscribe()
+        self.notices.kick()
+        self.schedule()
+        self.catch_up()
+
+    def catch_up(self) -> None:
+        later, self.later = self.later, []
+        for call in later:
+            call()
+
+    def give(self) -> None:
+        """The new process has read all: from here on it is the writer, and this one only ends what it has."""
+        assert self.lock is not None
+        self.server.move()
+        self.store.let_go()
+        self.lock.release()
+        self.predecessor.yours()
+        events, self.events = self.events, []
+        arriving, self.arriving = self.arriving, {}
+        self.store.messages.clear()
+        self.pool.retire()
+        for event in events:
+            self.post(event)
+        for handed, door in arriving.values():
+            self.predecessor.hand_in(handed, door)
+        self.catch_up()
+
+    def bereft(self) -> None:
+        """The new process is gone, though all was its: the journal says how far it got."""
+        if not self.leaving_s:
+            log.error("the new process is gone; starting again from the journal")
+            self.again = True
+            self.done.set()
+
+    def call_off(self, message: str, attempt: int) -> None:
+        self.pool.cancel(message, attempt)
+
+    def told_end(self, event: i.Ended) -> None:
+        """The outcome of a call that was out at the process before."""
+        if self.remote.pop((event.message, event.attempt), None) is None:
+            return
+        m = self.store.messages.get(event.message)
+        name = self.names.get(event.target, "")
+        if event.wait_us and m is not None:
+            host = self.hosts.get(name)
+            apart = host is not None and str(host.raw.get("class")) in self.apart
+            self.pool.bind((m.destination, event.target if apart else -1), self.clock() + event.wait_us)
+        self.post(event)
+
+    def alone(self) -> None:
+        """The process before is gone. What it had out was cut: it may have run."""
+        now = self.clock()
+        for (name, number), (target, sent_at) in list(self.remote.items()):
+            self.told_end(i.Ended(name, number, target, i.Outcome.RESET, now - sent_at, weak=True))
+        self.share_sockets(self.config.sockets)
+
     # Stopping
 
     def stop(self) -> None:
         """SIGTERM: go on as before while clients still come, then only wait for what is out."""
         if self.leaving_s:
             return
+        self.predecessor.abort()
         self.leaving_s = time.monotonic()
         log.info("stopping: %d messages held, %d calls out", len(self.store.messages), self.pool.out)
         self.server.leaving = True
@@ -550,6 +724,13 @@
     def stop_step(self) -> None:
         passed = time.monotonic() - self.leaving_s
         self.server.leave()
+        if self.predecessor.given:
+            if passed >= EXIT_S or not (self.pool.out or self.server.doors):
+                log.info("stopped: all else is the new process's")
+                self.done.set()
+            else:
+                asyncio.get_running_loop().call_later(0.05, self.stop_step)
+            return
         if passed >= FREEZE_S and not self.frozen:
             if self.arriving or self.events:
                 self.round()
--- /dev/null
+++ b/lemonshunt/net/handover.py
@@ -0,0 +1,367 @@
+"""Handing over to a new version that starts while this one serves: the lock on the journal, and the talk of
+the two processes over a Unix socket in the shared folder. What is handed over, the engine knows.
+
+  new: ask                    old: memory, or no
+  new: prepared               old: yours, once the lock is free
+  new: answer, rotated, cancel    old: hand_in, gone, ended, rotate
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import fcntl
+import json
+import logging
+import os
+from collections.abc import Callable
+from contextlib import contextmanager, suppress
+from dataclasses import asdict
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Protocol
+
+from lemonshunt import interface as i
+from lemonshunt.net.admin import Answer
+from lemonshunt.net.server import Asker, Handed
+
+SOCKET, LOCK = "handover", "lock"
+MOST_PATH = 100  # bytes that the path of a Unix socket may have, and some to spare
+MOST_LINE = 64 * 1024 * 1024
+HOLD_S = 1.5  # a new process that takes longer to read the journal is not waited for: clients are
+PAUSE_S = 0.05  # between two tries to become the one that holds the journal
+ASK_S = 2.0  # how long the old process may take to give its answer
+Line = dict[str, Any]
+log = logging.getLogger("lemonshunt.handover")
+
+
+class Lock:
+    """Whoever holds it may write the journal. It goes with its process, however that ends."""
+
+    def __init__(self, folder: Path) -> None:
+        self.path, self.fd = folder / LOCK, -1
+
+    def take(self) -> bool:
+        if self.fd < 0:
+            self.path.parent.mkdir(parents=True, exist_ok=True)
+            fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                os.close(fd)
+                return False
+            self.fd = fd
+        return True
+
+    async def wait(self) -> None:
+        while not self.take():
+            await asyncio.sleep(PAUSE_S / 10)
+
+    def release(self) -> None:
+        if self.fd >= 0:
+            os.close(self.fd)
+            self.fd = -1
+
+
+@contextmanager
+def _short(path: Path) -> Any:
+    """A path that is short enough for a Unix socket, whatever folder it is in."""
+    if len(os.fsencode(path)) <= MOST_PATH:
+        yield str(path)
+        return
+    fd = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        yield f"/proc/self/fd/{fd}/{path.name}"
+    finally:
+        os.close(fd)
+
+
+class Link(asyncio.Protocol):
+    """Lines of JSON, one way and the other."""
+
+    def __init__(self, heard: Callable[[Link, Line], None], lost: Callable[[Link], None]) -> None:
+        self.heard, self.lost = heard, lost
+        self.transport: asyncio.Transport | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        first, *rest = data.split(b"\n")
+        self.parts.append(first)
+        self.size += len(first)
+        for part in rest:
+            line, self.parts, self.size = b"".join(self.parts), [part], len(part)
+            try:
+                self.heard(self, json.loads(line))
+            except (ValueError, TypeError, KeyError) as error:
+                log.error("handover: a line that cannot be read: %r", error)
+                self.close()
+                return
+        if self.size > MOST_LINE:
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        self.lost(self)
+
+    def send(self, **line: Any) -> None:
+        if self.transport is not None:
+            self.transport.write(json.dumps(line, separators=(",", ":")).encode() + b"\n")
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+
+class Giver(Protocol):
+    """What the engine that serves does for the handover."""
+
+    def hold(self) -> Line | None: ...
+
+    def resume(self) -> None: ...
+
+    def give(self) -> None: ...
+
+    def bereft(self) -> None: ...
+
+    def call_off(self, message: str, attempt: int) -> None: ...
+
+
+class Predecessor:
+    """The side of the process that serves, until another one asks for what it holds."""
+
+    def __init__(self, engine: Giver) -> None:
+        self.engine, self.given = engine, False
+        self.link: Link | None = None
+        self.listener: asyncio.Server | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.asked = 0
+        self.doors: dict[int, tuple[str, Asker]] = {}
+        self.rotations: dict[int, Answer] = {}
+
+    async def listen(self, folder: Path) -> None:
+        with _short(folder / SOCKET) as path:
+            self.listener = await asyncio.get_running_loop().create_unix_server(
+                lambda: Link(self.heard, self.lost), path)
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        if self.link is not None:
+            self.link.close()
+
+    def heard(self, link: Link, line: Line) -> None:
+        if "ask" in line:
+            self.ask(link)
+        elif link is not self.link:
+            link.close()
+        elif "prepared" in line and not self.given:
+            self.stop_timer()
+            self.given = True
+            self.engine.give()
+        elif "answer" in line:
+            number, status, text, headers = line["answer"]
+            waiting = self.doors.pop(number, None)
+            if waiting is not None:
+                waiting[1].answer(HTTPStatus(status), text, **headers)
+        elif "rotated" in line:
+            number, status, text = line["rotated"]
+            self.rotations.pop(number)(HTTPStatus(status), text)
+        elif "cancel" in line:
+            self.engine.call_off(*line["cancel"])
+
+    def ask(self, link: Link) -> None:
+        memory = self.engine.hold() if self.link is None else None
+        if memory is None:
+            link.send(no=True)
+            link.close()
+            return
+        self.link = link
+        link.send(memory=memory)
+        self.timer = asyncio.get_running_loop().call_later(HOLD_S, self.abort)
+
+    def stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def abort(self) -> None:
+        """The new process is not waited for any longer, unless all is its already."""
+        if self.link is not None and not self.given:
+            link, self.link = self.link, None
+            self.stop_timer()
+            link.close()
+            log.warning("the new process did not take over; going on")
+            self.engine.resume()
+
+    def lost(self, link: Link) -> None:
+        if link is not self.link:
+            return
+        if self.given:
+            self.link = None
+            self.engine.bereft()
+        else:
+            self.abort()
+
+    # Once all is given away
+
+    def yours(self) -> None:
+        if self.link is not None:
+            self.link.send(yours=True)
+
+    def hand_in(self, handed: Handed, door: Asker) -> None:
+        """A request that came over a connection of this process is answered by the new one."""
+        if self.link is None:
+            door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready", Retry_After="1")
+            return
+        self.asked += 1
+        number = self.asked
+        self.doors[number] = (handed.id, door)
+        door.left = lambda: self.gone(number)
+        self.link.send(hand_in=[number, {**asdict(handed), "body": base64.b64encode(handed.body).decode()}])
+
+    def gone(self, number: int) -> None:
+        if self.doors.pop(number, None) is not None and self.link is not None:
+            self.link.send(gone=number)
+
+    def ended(self, e: i.Ended) -> None:
+        if self.link is not None:
+            report = None if e.report is None else [e.report.left, e.report.limit_per_s]
+            self.link.send(ended=[e.message, e.attempt, e.target, e.outcome.value, e.took_us, e.closed,
+                                  e.wait_us, report, e.weak])
+
+    def rotate(self, name: str, out: bool, answer: Answer) -> None:
+        if self.link is None:
+            answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
+            return
+        self.asked += 1
+        self.rotations[self.asked] = answer
+        self.link.send(rotate=[self.asked, name, out])
+
+
+class Taker(Protocol):
+    """What the engine that takes over does for the handover."""
+
+    def hand_in(self, handed: Handed, door: Asker) -> None: ...
+
+    def told_end(self, event: i.Ended) -> None: ...
+
+    def rotate(self, name: str, out: bool, answer: Answer) -> None: ...
+
+    def alone(self) -> None: ...
+
+
+class Proxy:
+    """A client's connection that the old process holds."""
+
+    def __init__(self, successor: Successor, number: int) -> None:
+        self.successor, self.number = successor, number
+        self.left: Callable[[], None] | None = None
+
+    def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None:
+        self.left = None
+        self.successor.proxies.pop(self.number, None)
+        self.successor.link.send(answer=[self.number, status.value, text, headers])
+
+
+class Successor:
+    """The side of the process that takes over."""
+
+    def __init__(self) -> None:
+        self.link = Link(self.heard, self.lost)
+        self.memory: Line = {}
+        self.engine: Taker | None = None
+        self.early: list[Line] = []
+        self.proxies: dict[int, Proxy] = {}
+        self.turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.over = False
+
+    async def ask(self, folder: Path) -> bool:
+        """Whether the old process holds still and has told what it knows."""
+        try:
+            with _short(folder / SOCKET) as path:
+                await asyncio.get_running_loop().create_unix_connection(lambda: self.link, path)
+        except OSError:
+            return False
+        return await self.request("ask", ASK_S)
+
+    async def prepared(self) -> bool:
+        """Whether all is this process's from now on."""
+        return await self.request("prepared", ASK_S)
+
+    async def request(self, word: str, patience_s: float) -> bool:
+        if self.over:
+            return False
+        self.turn = asyncio.get_running_loop().create_future()
+        self.link.send(**{word: True})
+        try:
+            async with asyncio.timeout(patience_s):
+                return await self.turn
+        except TimeoutError:
+            self.link.close()
+            return False
+
+    def attach(self, engine: Taker) -> None:
+        self.engine = engine
+        early, self.early = self.early, []
+        for line in early:
+            self.heard(self.link, line)
+        if self.over:
+            engine.alone()
+
+    def heard(self, link: Link, line: Line) -> None:
+        if "memory" in line or "yours" in line or "no" in line:
+            self.memory = line.get("memory", self.memory)
+            if not self.turn.done():
+                self.turn.set_result("no" not in line)
+        elif self.engine is None:
+            self.early.append(line)
+        elif "hand_in" in line:
+            number, parts = line["hand_in"]
+            door = self.proxies[number] = Proxy(self, number)
+            self.engine.hand_in(Handed(**{**parts, "body": base64.b64decode(parts["body"])}), door)
+        elif "gone" in line:
+            proxy = self.proxies.pop(line["gone"], None)
+            if proxy is not None and proxy.left is not None:
+                proxy.left()
+        elif "ended" in line:
+            message, attempt, target, outcome, took_us, closed, wait_us, report, weak = line["ended"]
+            told = None if report is None else i.LoadReport(*report)
+            self.engine.told_end(i.Ended(
+                message, attempt, target, i.Outcome(outcome), took_us, closed, wait_us, told, weak))
+        elif "rotate" in line:
+            number, name, out = line["rotate"]
+            self.engine.rotate(name, out, lambda status, text: self.link.send(
+                rotated=[number, status.value, text]))
+
+    def lost(self, link: Link) -> None:
+        self.over = True
+        if not self.turn.done():
+            self.turn.set_result(False)
+        for proxy in list(self.proxies.values()):
+            if proxy.left is not None:
+                proxy.left()
+        self.proxies.clear()
+        if self.engine is not None:
+            self.engine.alone()
+
+
+async def claim(lock: Lock, folder: Path) -> Successor | None:
+    """Become the one that holds the journal: at once where nobody does, else by asking who does. A process
+    that neither answers nor ends is waited for: two writers would cost what is held."""
+    waited = False
+    while not lock.take():
+        successor = Successor()
+        if await successor.ask(folder):
+            return successor
+        with suppress(OSError):
+            successor.link.close()
+        if not waited:
+            waited = True
+            log.warning("another process holds the journal and does not hand it over; waiting")
+        await asyncio.sleep(PAUSE_S)
+    return None
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+import os
 import re
 import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import Protocol
 
 import httptools
 
@@ -64,6 +66,14 @@
     body: bytes
 
 
+class Asker(Protocol):
+    """Who handed a message in and waits to hear of it; `left` is called if that ends."""
+
+    left: Callable[[], None] | None
+
+    def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None: ...
+
+
 def message(request: Request, settings: i.Settings) -> Handed:
     """Read a message from a request, or say what is wrong with it."""
     name, bad = request.path.partition("?")[0].strip("/"), HTTPStatus.BAD_REQUEST
@@ -242,7 +252,7 @@
         request, self.busy, self.left = self.busy, None, None
         if request is None or self.transport is None or self.transport.is_closing():
             return
-        keep = request.keep_alive and not self.server.leaving and not self.ended
+        keep = request.keep_alive and not (self.server.leaving or self.server.moving or self.ended)
         body = (text + "\n").encode() if text else b""
         lines = [f"HTTP/1.1 {status.value} {status.phrase}", f"Content-Length: {len(body)}",
                  *(f"{k.replace('_', '-')}: {v}" for k, v in headers.items())]
@@ -295,16 +305,21 @@
     """Listens for clients. `hand_in` gets each well-formed message together with its connection."""
 
     def __init__(self, settings: i.Settings, clock: Callable[[], int], most: int,
-                 hand_in: Callable[[Handed, Door], None], ready: Callable[[], bool] = lambda: True) -> None:
+                 hand_in: Callable[[Handed, Asker], None], ready: Callable[[], bool] = lambda: True) -> None:
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.ready = ready
         self.doors: set[Door] = set()
-        self.leaving = False
+        self.leaving = self.moving = self.closed = False
         self.listener: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
+    async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
         loop = asyncio.get_running_loop()
-        sock = await bind(host, port)
+        if inherited is None:
+            sock = await bind(host, port)
+        else:  # a copy: to stop accepting closes it, and the platform's own stays as it is
+            sock = socket.socket(fileno=os.dup(inherited))
+            if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(f"descriptor {inherited} is no listening socket")
         # asyncio takes as many connections at a time as its backlog says, before it tells of the first: with
         # a long one a flood would use up the descriptors before anything could make room.
         self.listener = await loop.create_server(lambda: Door(self), sock=sock, backlog=ACCEPTS)
@@ -326,6 +341,8 @@
     def sweep(self) -> None:
         """No connection holds its socket for ever: not one that was refused, nor one that says nothing, that
         stands half read or that has long been idle (a client that stays asks again, or opens a new one)."""
+        if self.closed:
+            return
         now = self.clock()
         idle_us = IDLE_US if 2 * len(self.doors) <= self.most else SILENT_US
         for door in list(self.doors):
@@ -368,7 +385,15 @@
             if door.idle():
                 door.close()
 
+    def move(self) -> None:
+        """Another process takes the connections from now on; those held here end after their next answer."""
+        self.moving = True
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
     async def close(self) -> None:
+        self.closed = True
         if self.listener is not None:
             self.listener.close()
         for door in list(self.doors):
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -82,7 +82,7 @@
 class Store:
     """Appends are gathered; `flush` writes them, before anything that they precede leaves."""
 
-    def __init__(self, folder: Path, most_bytes: int) -> None:
+    def __init__(self, folder: Path, most_bytes: int, write: bool = True) -> None:
         self.path, self.spare = folder / "journal", folder / "journal.new"
         self.most = self.bound(most_bytes)
         self.messages: dict[str, Taken] = {}
@@ -95,10 +95,17 @@
         self.seq, self.source = -1, ""
         self.live, self.size, self.list_size, self.failed = 0, 0, 0, False
         self.pending: list[bytes] = []
+        self.fd = -1
         folder.mkdir(parents=True, exist_ok=True)
+        if write:
+            self.begin()
+        self.replay()
+
+    def begin(self) -> None:
+        """Be the one that writes; what was read before is as it stands in the file."""
         self.spare.unlink(missing_ok=True)
         self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        self.replay()
+        os.lseek(self.fd, self.size, os.SEEK_SET)
 
     @staticmethod
     def bound(most_bytes: int) -> int:
@@ -127,9 +134,11 @@
                 log.error("journal: a record of unknown form is passed over: %r", error)
             at += HEAD.size + length
         if at < len(data):
-            log.warning("journal: cut %d bytes of a torn tail", len(data) - at)
-            os.ftruncate(self.fd, at)
-        os.lseek(self.fd, at, os.SEEK_SET)
+            log.warning("journal: %d bytes of a torn tail", len(data) - at)
+            if self.fd >= 0:
+                os.ftruncate(self.fd, at)
+        if self.fd >= 0:
+            os.lseek(self.fd, at, os.SEEK_SET)
         self.size = at
 
     def _taken(self, rest: list[Any], body: bytes) -> None:
@@ -328,7 +337,13 @@
 
     def close(self) -> None:
         self.flush()
-        os.close(self.fd)
+        self.let_go()
+
+    def let_go(self) -> None:
+        """Write no more; another may."""
+        if self.fd >= 0:
+            os.close(self.fd)
+            self.fd = -1
 
 
 def _record(line: tuple[Any, ...], body: bytes = b"") -> bytes:
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -3,11 +3,30 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from typing import Any
 
 from lemonshunt.interface import MessageClass
 
+# What a process that takes over is told of each record; the rest is in the journal or counted anew.
+TARGET_KEPT = ("failing", "tried_at", "outage_at", "back_at", "spread")
+PLACE_KEPT = ("window", "mean", "seed", "mean_at", "wait_until", "rest_until", "rest", "cut_at", "limit",
+              "left", "share", "pace_at")
+MESSAGE_KEPT = ("over_share", "waited", "avoid")
+CALL_KEPT = ("sent_at", "idle", "gap", "joined", "judged", "passed")
+
+
+def kept(record: object, names: Iterable[str]) -> dict[str, Any]:
+    return {name: getattr(record, name) for name in names}
+
+
+def learn(record: object, known: Mapping[str, Any], names: Iterable[str]) -> None:
+    for name in names:
+        if name in known:
+            setattr(record, name, known[name])
+
 
 @dataclass(slots=True)
 class Message:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import os
 import signal
@@ -199,14 +200,41 @@
                   "admin_addr": f"127.0.0.1:{self.admin}", "known": known or platform.listing(),
                   "settings": settings}
         (folder / "config.json").write_text(json.dumps(config))
+        self.listener: socket.socket | None = None
+
+    def hold_listener(self) -> None:
+        """The platform holds the clients' listening socket, and every process inherits it."""
+        self.listener = socket.create_server(("127.0.0.1", self.port))
+
+    async def beside(self) -> Node:
+        """The program once more, on the same folder, with another operators' address."""
+        other = copy.copy(self)
+        other.admin, other.log = free_port(), []
+        await other.spawn()
+        return other
 
     async def start(self) -> Node:
+        await self.spawn()
+        return await self.until_ready()
+
+    async def spawn(self) -> None:
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json"),
-               "LB_STATE": str(self.folder / "state")}
+               "LB_STATE": str(self.folder / "state"), "LB_ADMIN_ADDR": f"127.0.0.1:{self.admin}"}
+        fds = () if self.listener is None else (self.listener.fileno(),)
+        if fds:
+            env["LB_INHERITED_FD"] = str(fds[0])
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lemonshunt", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "lemonshunt", cwd=ROOT, env=env,
+            stderr=asyncio.subprocess.PIPE, pass_fds=fds)
         self.drain = asyncio.create_task(self.read_log())
         self.ready = asyncio.Event()
+
+    async def until_logged(self, text: str) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not any(text in line for line in self.log):
+                await asyncio.sleep(0.01)
+
+    async def until_ready(self) -> Node:
         async with asyncio.timeout(PATIENCE):
             await self.ready.wait()
         return self
@@ -215,7 +243,7 @@
         assert self.process.stderr is not None
         async for raw in self.process.stderr:
             self.log.append(raw.decode())
-            if "ready" in self.log[-1]:
+            if self.log[-1].rstrip().endswith(": ready"):
                 self.ready.set()
 
     async def end(self, sign: int = signal.SIGKILL) -> int:
