Give up a once-only call that later ones passed, once its aim has passed

Such calls on silent connections were waited for 12 s and held all 20 slots.

A log line now says what stands before the next call to each target of the largest pile.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -364,16 +364,16 @@
 
     def recall(self) -> None:
         """A call that stays silent while later ones to the same target are answered has lost its connection,
-        and not its target: its messages need not wait for the time-out, and it says nothing of health."""
+        and not its target: its messages need not wait for the time-out, and it says nothing of health. Those
+        that may not be sent again fail by this, so their aim must have passed as well."""
         if not self.s.may_cancel:
             return
         for (name, number), attempt in self.attempts.items():
             m, call = attempt.message, attempt.call
-            if attempt.recalled or m.cls.effect is i.Effect.ONCE:
-                continue
-            if call.passed >= PASSED:
+            if call.passed >= PASSED and not attempt.recalled:
                 usual = STALL_CALLS * self.expected(call.target.place, m.cls)
-                if self.now - call.sent_at > max(STALL_US, usual):
+                least = m.cls.aim_us if m.cls.effect is i.Effect.ONCE else STALL_US
+                if self.now - call.sent_at > max(least, usual):
                     self.actions.append(i.Cancel(name, number))
                     attempt.recalled = True
 
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -25,6 +25,7 @@
 from lemonshunt.net.handover import Line, Lock, Predecessor, Successor
 from lemonshunt.net.server import Asker, Handed, Server
 from lemonshunt.net.store import Owed, Rules, Store, Taken
+from lemonshunt.state import Target
 
 ROUND_US = 5_000  # least time between rounds: what goes to one target in one round travels together
 LISTEN_S = 1.0  # after SIGTERM new connections come for a while
@@ -231,9 +232,22 @@
                  now - self.summed_s, done, len(self.store.messages), most, self.dispatcher.calls_out,
                  self.config.settings.slots, sick, oldest // 1000, len(self.server.doors),
                  len(self.pool.all), self.store.size // 1000)
+        for d, _ in piles.most_common(1):
+            targets = self.dispatcher.by_destination.get(d, [])
+            if targets:
+                log.info("destination %d: %s", d, "; ".join(map(self.describe, targets)))
         self.summed_s = now
         self.counts.clear()
 
+    def describe(self, t: Target) -> str:
+        """What stands before the next call to a target."""
+        d, now = self.dispatcher, self.clock()
+        gates = {"wait": t.place.wait_until, "rest": t.place.rest_until, "pace": t.place.pace_at,
+                 "turn": t.tried_at + int(t.spread * d.turn(t)) if d.cold(t) else 0}
+        shut = "".join(f", {name} {(at - now) // 1000} ms" for name, at in gates.items() if at > now)
+        cold = "" if not d.cold(t) else ", in outage" if t.back_at < 0 else ", warming"
+        return f"target {t.id} has {t.out} out, window {t.place.window:.0f}{cold}{shut}"
+
     # Events
 
     def post(self, event: i.Event) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -311,3 +311,20 @@
     d = started(ONE)
     assert not any(isinstance(a, i.Outage) for a in d.handle(0, [i.Attached(1)]))
     assert not d.cold(d.targets[1])
+
+
+def test_once_only_call_on_a_silent_connection_gives_its_slot_back_past_its_aim() -> None:
+    """It used to be waited for till its end, and a few of them held every slot."""
+    d = started(ONE, may_cancel=True)
+    now, free = 0, sends(d.handle(0, [ask("first")]))
+    d.handle(MS, [end(free[0], OK)])  # the window lets two go
+    lost = sends(d.handle(2 * MS, [ask("pay", cls="once", due=60 * S)]))[0]
+    assert lost.message == "pay"
+    cancels: list[i.Cancel] = []
+    while not cancels and now < 20 * S:
+        now += 100 * MS
+        sent = sends(d.handle(now, [ask(f"m{now}", due=60 * S)]))
+        actions = d.handle(now + 50 * MS, [end(s, OK, took=50 * MS) for s in sent])
+        cancels = [a for a in actions if isinstance(a, i.Cancel)]
+    assert [c.message for c in cancels] == ["pay"] and now >= CLASS["once"].aim_us
+    assert finals(d.handle(now + 60 * MS, [end(lost, i.Outcome.CANCELED)])) == [i.Fail("pay")]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -563,5 +563,12 @@
         first, second = caplog.messages
         assert "in 5 s: 1 full; held 1, 1 for destination 7; calls out 0 of 8 slots" in first
         assert "in 5 s: nothing; held 1" in second
+        now = e.clock()
+        e.dispatcher.handle(now, [i.Listed(i.ListKind.WHOLE, (i.TargetEntry(1, 7),))])
+        e.dispatcher.targets[1].place.wait_until = now + 60_000_000
+        caplog.clear()
+        with caplog.at_level("INFO"):
+            e.sum_up(e.summed_s + 5)
+        assert "destination 7: target 1 has 0 out, window 1, wait 5" in caplog.messages[1]
         e.store.close()
     asyncio.run(scene())
