--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -557,6 +557,9 @@
         if self.holding:
             self.later.append(lambda: self.rotate(name, out, answer))
             return
+        if not self.serving or self.closed:  # the journal is not this process's, yet or any more
+            answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
+            return
         if name not in self.numbers:
             answer(HTTPStatus.NOT_FOUND, "no such endpoint\n")
             return
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import gc
+import json
 import socket
 import time
 import weakref
+import zlib
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +21,7 @@
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
 from lemonshunt.net.http import BadAnswer, ResponseReader
 from lemonshunt.net.server import Door, Handed, Server
-from lemonshunt.net.store import Owed, Store, Taken
+from lemonshunt.net.store import HEAD, Owed, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, always, hang, message
 
@@ -572,3 +574,33 @@
         assert "destination 7: target 1 has 0 out, window 1, wait 5" in caplog.messages[1]
         e.store.close()
     asyncio.run(scene())
+
+
+def test_nothing_is_taken_out_before_the_journal_is_this_process_s(tmp_path: Path) -> None:
+    """A process that is still taking over has read the journal, and must not write it."""
+    async def scene() -> None:
+        e = engine(tmp_path)
+        e.store.let_go()
+        said: list[int] = []
+        e.rotate("s1", True, lambda status, text: said.append(status.value))
+        assert said == [503] and not e.store.detached
+    asyncio.run(scene())
+
+
+def test_journal_of_before_the_rules_is_read_under_those_in_force(tmp_path: Path) -> None:
+    line = ["taken", "m", "order", 7, 1 << 60, None, None, 0, -1, "", [], None]
+    payload = json.dumps(line).encode() + b"\nhello"
+    (tmp_path / "journal").write_bytes(HEAD.pack(len(payload), zlib.crc32(payload)) + payload)
+
+    async def scene() -> None:
+        e = engine(tmp_path)
+        m = e.store.messages["m"]
+        recalled = next(x for x in e.events if isinstance(x, i.Recalled))
+        assert recalled.cls == e.store.class_of(m) == e.config.settings.classes[0]
+        e.store.flush()
+        e.store.compact()
+        e.store.close()
+        again = Store(tmp_path, 3_000_000)
+        assert again.class_of(again.messages["m"]) == e.config.settings.classes[0]
+        again.close()
+    asyncio.run(scene())
