--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -213,17 +213,21 @@
         self.looks.update(self.held.piles)
 
     def attached(self, target: int) -> None:
-        """Back from a restart: nothing of before holds, and it is warmed like one back from an outage."""
+        """Back from a restart: nothing of before holds, and a route's window grows from one call. Turns start
+        slowly only where it was seen in an outage before (rule 4)."""
         self.detached.discard(target)
         self.sort_targets()
         t = self.targets.get(target)
         if t is None:
             return
+        if self.cold(t):
+            t.back_at = t.tried_at = self.now
+        else:
+            t.outage_at = t.back_at = -1
+        self.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
         t.failing, t.idle_at, t.spread = 0.0, -1, 1.0
-        t.outage_at = t.back_at = t.tried_at = self.now
         if t.apart:
             t.place.window, t.place.mean, t.place.mean_at, t.place.rest = 1.0, 0.0, -1, 0
-        self.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
 
     def arrived(self, event: i.Arrived) -> None:
         """Take a message. One of an unknown class is failed: its effect is not known."""
