Pace calls by the listed weight: refused calls ate the limits of whole routes

Ruled out: outages (no time-outs there), the clock (0.26 s in the busiest second), slots (165 of 200 out), the rests (kept; 40 windows of one call are 40 calls). At fault: `send` kept a pace only where limits are reported, and `judge` let the share shrink no further than 0.4.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -54,9 +54,10 @@
 REST_US = 150_000  # first rest after a refusal without a wait
 REST_TIMES = 4  # each further refusal makes the rest so much longer: many come back thinly, and once each
 REST_TOP_US = 1_500_000  # longest rest with few forwarders: an outage must not outlive itself by more
-SHARE_CUT = 0.85  # by a refusal above the limit, our assumed share of it shrinks to this
-SHARE_LEAST = 0.4  # times an even share: it does not shrink further
-SHARE_GROW = 0.03  # by a success with much of the limit left, it grows by this
+SHARE_START = 2.0  # even shares of a limit that we take at first: seldom all have messages for it at once
+SHARE_CUT = 0.7  # by a refusal above the limit, our assumed share of it shrinks to this
+SHARE_LEAST = 0.1  # even shares: it does not shrink further
+SHARE_GROW = 0.1  # by a success with much of the limit left, it grows by this many even shares
 MUCH_LEFT = 0.4  # share of a limit that counts as much
 BURST_US = 700_000  # the pace lets through at once what it earns in this time
 CROWD_TOP = 10  # with many forwarders rests are longer, by up to this much: each retry meets all others'
@@ -106,6 +107,7 @@
         """Settings and all that follows from them. What a message was taken on under stays with it."""
         self.s = settings
         self.classes = {c.name: c for c in settings.classes}
+        self.least_time = min((c.deadline_us for c in settings.classes), default=SECOND)
         self.kinds = {k.name: k for k in settings.kinds}
         self.tenants = {t.name: t for t in settings.tenants}
         self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if settings.balancers > FEW else FORGET_US)
@@ -125,7 +127,8 @@
 
     def place(self, destination: int, target: int, apart: bool) -> Place:
         whose = (destination, target if apart else -1)
-        return self.places.setdefault(whose, Place(destination, 1.0, share=1.0 / self.s.balancers))
+        share = min(SHARE_START, self.s.balancers)
+        return self.places.setdefault(whose, Place(destination, 1.0, share=share))
 
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
@@ -466,6 +469,8 @@
         if event.wait_us and self.s.balancers > FEW:  # a wait ends for all at once
             target.place.rest_until = target.place.wait_until + int(self.random.random() * event.wait_us)
         if event.report is not None:
+            if not target.place.limit:  # a limit that is told needs no room for error
+                target.place.share = min(1.0, target.place.share)
             target.place.limit, target.place.left = event.report.limit_per_s, event.report.left
         if m.id in self.messages and (event.closed or event.outcome is Outcome.DELIVERED):
             self.over(m)
@@ -501,11 +506,11 @@
             self.idle_us = min(self.idle_top, self.idle_us + self.idle_us // IDLE_GROW)
             place.window, place.rest = min(place.window + 1, self.cap(place)), 0
             if place.left > MUCH_LEFT:
-                place.share = min(1.0, place.share + SHARE_GROW)
+                place.share = min(float(self.s.balancers), place.share + SHARE_GROW)
         if cut:
             place.window, place.cut_at = max(1.0, place.window / 2), self.now
         if cut and outcome is Outcome.FULL:
-            place.share = max(SHARE_LEAST / self.s.balancers, place.share * SHARE_CUT)
+            place.share = max(SHARE_LEAST, place.share * SHARE_CUT)
             crowd = max(1, min(CROWD_TOP, self.s.balancers // FEW))
             place.rest = min(crowd * REST_TOP_US, max(crowd * REST_US, REST_TIMES * place.rest))
         if outcome is Outcome.FULL and not event.wait_us:
@@ -650,8 +655,7 @@
                 place.window = 1.0
             place.mean = self.expected(place, m.cls)
             t.out, place.out = t.out + 1, place.out + 1
-            each = min(m.cls.aim_us, SECOND / max(place.share * place.limit, 1e-9)) if place.limit else 0
-            place.pace_at = self.spend(place.pace_at, each, BURST_US)
+            place.pace_at = self.spend(place.pace_at, self.pace(t), BURST_US)
         t.tried_at = self.now
         call.joined, call.messages = call.joined + 1, call.messages + 1
         if m.key is not None:
@@ -662,6 +666,14 @@
         self.usual.clear()
         self.actions.append(i.Send(m.id, t.id, self.timeout(m, place)))
 
+    def pace(self, t: Target) -> float:
+        """The time between our calls by which the limit holds for all forwarders together. An even share may
+        be one call in a minute: only refusals make the time longer than half of what a message has."""
+        limit, share = t.place.limit or (t.weight if self.s.weights_told else 0.0), t.place.share
+        if not limit:
+            return 0.0
+        return min(self.least_time / 2, SECOND * self.s.balancers / limit / max(1.0, share)) / min(1.0, share)
+
     def timeout(self, m: Message, place: Place) -> int:
         """How long an attempt may take. One that must not run twice is waited for till its end."""
         left = m.due - self.now
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -100,6 +100,7 @@
     limit: float = 0.0
     left: float = 1.0
     share: float = 1.0
+    """How many even shares of its limit we take."""
     pace_at: int = 0
     """When our share of its limit has room for the next call."""
 
