--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator, Mapping, Set
@@ -71,6 +72,7 @@
 LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
 MOST_GONE = 200  # targets that have left the list and are remembered still
 BUFFER_MARK = 0.85  # share of the buffer above which the largest pile is cut
+LATE_LEAST = 0.6  # where fresh ones near their aims, one in their pile with less worth left is given up
 ASK_AGAIN_US = 500_000  # first pause before asking for the list again; doubles up to eight times this
 PURSE_US = 2 * SECOND  # a tenant may run ahead of its share by this much
 PURSE_LEAST = 4.0  # messages, and by these at least: our part of a share may be far under one
@@ -385,18 +387,35 @@
                     attempt.recalled = True
 
     def drop(self) -> None:
-        """The unsent drop: a held message whose time left is below its expected call is answered now."""
+        """The unsent drop: a held message whose time left is below its expected call is answered now. In a
+        pile that moves too slowly for its fresh ones it gives way to them before: else all end late."""
         if self.now - self.cleared_at >= SECOND:
             self.cleared_at = self.now
             self.lines = {k: n for k, n in self.lines.items()
                           if n.queue or n.out or n.owed or n.rest_until > self.now}
         for destination in sorted(self.looks):
-            for m in list(self.held.piles.get(destination, {}).values()):
-                if self.now >= self.drop_at(m) or not self.may_repeat(m):
+            pile = list(self.held.piles.get(destination, {}).values())
+            jam = any(m.cls.aim_us / 2 < self.age(m) <= m.cls.aim_us for m in pile)
+            for m in pile:
+                if self.now >= self.drop_at(m) or not self.may_repeat(m) or (
+                        jam and self.now > self.fades_at(m)):
                     self.answer(m)
         if len(self.messages) > BUFFER_MARK * self.s.max_open and self.held.piles:
             self.shed()
 
+    def age(self, m: Message) -> int:
+        """How much of its time has passed, also where it came to another forwarder first."""
+        return m.cls.deadline_us - (m.due - self.now)
+
+    def fades_at(self, m: Message) -> float:
+        """When less than `LATE_LEAST` of its worth is left."""
+        aim, most = m.cls.aim_us, m.cls.deadline_us - m.cls.aim_us
+        if self.s.late_halves:
+            after = aim * (1 - math.log2(LATE_LEAST))
+        else:
+            after = aim + most * (1 - LATE_LEAST) / max(1e-9, 1 - m.cls.late_worth)
+        return m.due - m.cls.deadline_us + after
+
     def drop_at(self, m: Message) -> int:
         """When the message's time left falls below its shortest expected call."""
         return m.due - max(int(self.soonest(m)), LOOK_US)
@@ -590,7 +609,10 @@
         for destination in sorted(self.looks & self.held.piles.keys()):
             first_drop = min(self.drop_at(m) for m in self.held.piles[destination].values())
             opens = min((self.room_at(t) for t in self.by_destination.get(destination, [])), default=NEVER)
-            self.agenda.add(max(self.now + LOOK_US, min(first_drop, opens)), destination)
+            pile = self.held.piles[destination].values()
+            gives_way = min((at for m in pile for at in (self.now + m.cls.aim_us / 2 - self.age(m),
+                                                         self.fades_at(m)) if at > self.now), default=NEVER)
+            self.agenda.add(max(self.now + LOOK_US, int(min(first_drop, opens, gives_way)) + 1), destination)
 
     def open(self, destination: int) -> bool:
         """Whether any message could go to a destination now."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -345,3 +345,22 @@
         cancels = [a for a in actions if isinstance(a, i.Cancel)]
     assert [c.message for c in cancels] == ["pay"] and now >= CLASS["once"].aim_us
     assert finals(d.handle(now + 60 * MS, [end(lost, i.Outcome.CANCELED)])) == [i.Fail("pay")]
+
+
+def test_late_ones_give_way_where_fresh_ones_near_their_aims() -> None:
+    """In a pile that moves too slowly, by deadline, everything went out when little of its worth was left."""
+    d = started(ONE)
+    out = sends(d.handle(0, [ask("out")]))
+    d.handle(0, [end(out[0], FULL, wait_us=60 * S)])
+    d.handle(0, [ask("old", due=6 * S)])
+    d.handle(3_700 * MS, [ask("fresh", due=9_700 * MS)])
+    ends = [(t, a.message) for t, a in sweep(d, 3_700 * MS, 5_700 * MS) if isinstance(a, i.Refuse)]
+    assert sorted(name for _, name in ends) == ["old", "out"]
+    assert {t for t, _ in ends} == {4_720 * MS}  # not while the fresh one has not waited for half of its aim
+
+
+def test_late_ones_are_kept_where_nothing_fresh_waits() -> None:
+    d = started(ONE)
+    out = sends(d.handle(0, [ask("out")]))
+    d.handle(0, [end(out[0], FULL, wait_us=60 * S)])
+    assert not finals(d.handle(4_900 * MS, [i.TimerDue("look")]))
