Hold refusals of a paced route for a limit and not for an outage

Seen: with limits back, destinations got 8 to 20 calls a second where 28 went before; logs say `in outage: full` for each route whose limit fell, then `warming` for 11 s. At fault: `judge` let five refusals running pass the mark of an outage.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -536,7 +536,10 @@
             rest = int(place.rest * self.random.uniform(0.5, 1.5))
             place.rest_until = max(place.rest_until, self.now + rest)
         step = FULL_STEP if weak or outcome is Outcome.FULL else max(FAIL_STEP, news)
-        target.failing += step * ((outcome is not Outcome.DELIVERED) - target.failing)
+        failing = target.failing + step * ((outcome is not Outcome.DELIVERED) - target.failing)
+        if outcome is Outcome.FULL and self.pace(target):  # the share follows it, also down to that of an outage
+            failing = min(failing, max(FAIL_MARK, target.failing))
+        target.failing = failing
         self.watch_outage(target, outcome)
 
     def watch_outage(self, target: Target, outcome: Outcome) -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -221,3 +221,17 @@
     assert d.targets[1].failing > 0 and d.expected(d.targets[1].place, d.classes["safe"]) > 400 * MS
     actions = d.handle(6 * S, [ask("c", due=15 * S)])
     assert sends(actions) and i.CloseIdle(1) not in actions
+
+
+def test_refusals_of_a_paced_route_are_no_outage_and_its_share_follows() -> None:
+    """Limits that were lowered for 9 s were taken for outages: each forwarder then warmed its route for 11 s."""
+    d, now = fleet(40)[0], 0
+    for n in range(9):
+        actions = d.handle(now, [ask(f"m{n}", due=now + 60 * S)])
+        while not sends(actions):
+            now += 50 * MS
+            actions = d.handle(now, [i.TimerDue("look")])
+        out = sends(actions)[0]
+        d.handle(now, [end(out, FULL, d.messages[out.message].attempts - 1)])
+    assert not d.cold(d.targets[1])
+    assert d.targets[1].place.share == pytest.approx(0.1)
