--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -537,7 +537,7 @@
             place.rest_until = max(place.rest_until, self.now + rest)
         step = FULL_STEP if weak or outcome is Outcome.FULL else max(FAIL_STEP, news)
         failing = target.failing + step * ((outcome is not Outcome.DELIVERED) - target.failing)
-        if outcome is Outcome.FULL and self.pace(target):  # the share follows it, also down to that of an outage
+        if outcome is Outcome.FULL and self.pace(target):  # the share follows, also down to an outage's
             failing = min(failing, max(FAIL_MARK, target.failing))
         target.failing = failing
         self.watch_outage(target, outcome)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -224,7 +224,7 @@
 
 
 def test_refusals_of_a_paced_route_are_no_outage_and_its_share_follows() -> None:
-    """Limits that were lowered for 9 s were taken for outages: each forwarder then warmed its route for 11 s."""
+    """Limits that were lowered for 9 s were taken for outages: each forwarder then warmed for 11 s."""
     d, now = fleet(40)[0], 0
     for n in range(9):
         actions = d.handle(now, [ask(f"m{n}", due=now + 60 * S)])
