Count a target's return from half way since the last call that failed

Each forwarder calls a dead endpoint every 9 s and counted the warming from when it heard. Ruled out: the budget of turns (binds only those that have not heard), a lack of messages.

--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -543,13 +543,16 @@
         self.watch_outage(target, outcome)
 
     def watch_outage(self, target: Target, outcome: Outcome) -> None:
-        """Rule 4: from the signs of an outage until warm again, calls to the target take turns."""
+        """Rule 4: from the signs of an outage until warm again, calls to the target take turns. When it came
+        back lies between the last call that failed and this one, which may be long after."""
         if outcome is Outcome.DELIVERED:
             if self.cold(target) and target.back_at < 0 and target.failing <= FAIL_MARK:
-                target.back_at = self.now
+                target.back_at = max(target.outage_at, (self.now + target.failed_at) // 2)
                 self.actions.append(i.Outage(target.id, target.outage_at, target.back_at))
                 self.actions.append(i.Note(f"target {target.id} answers again: warming"))
-        elif target.failing > FAIL_MARK:
+            return
+        target.failed_at = self.now
+        if target.failing > FAIL_MARK:
             if not self.cold(target):
                 self.actions.append(i.Note(f"target {target.id} in outage: {outcome.value}"))
                 target.outage_at = self.now
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -235,3 +235,19 @@
         d.handle(now, [end(out, FULL, d.messages[out.message].attempts - 1)])
     assert not d.cold(d.targets[1])
     assert d.targets[1].place.share == pytest.approx(0.1)
+
+
+def test_a_target_is_held_to_have_come_back_before_the_first_call_that_tells_so() -> None:
+    """Where each calls it every 10 s, all warmed it from when they heard of it: it got half of what it took."""
+    d = fleet(40)[0]
+    outs = []
+    for n, now in enumerate((0, 5 * S)):
+        outs += sends(d.handle(now, [ask(f"m{n}", due=60 * S)]))
+        d.handle(now + MS, [end(outs[-1], i.Outcome.NO_CONNECTION), i.Withdrawn(f"m{n}")])
+    assert d.cold(d.targets[1])
+    actions, now = d.handle(6 * S, [ask("back", due=60 * S)]), 6 * S
+    while not sends(actions):
+        now += 50 * MS
+        actions = d.handle(now, [i.TimerDue("look")])
+    d.handle(now, [end(sends(actions)[0], OK)])
+    assert d.targets[1].back_at == (now + 5001 * MS) // 2
