--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -238,7 +238,7 @@
 
 
 def test_a_target_is_held_to_have_come_back_before_the_first_call_that_tells_so() -> None:
-    """Where each calls it every 10 s, all warmed it from when they heard of it: it got half of what it took."""
+    """Each calls it every 10 s, and all warmed it from when they heard of it: it got half of what it took."""
     d = fleet(40)[0]
     outs = []
     for n, now in enumerate((0, 5 * S)):
