--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -55,10 +55,11 @@
 REST_US = 150_000  # first rest after a refusal without a wait
 REST_TIMES = 4  # each further refusal makes the rest so much longer: many come back thinly, and once each
 REST_TOP_US = 1_500_000  # longest rest with few forwarders: an outage must not outlive itself by more
-SHARE_START = 2.0  # even shares of a limit that we take at first: seldom all have messages for it at once
+SHARE_START = 1.0  # even shares of a limit that each of very many takes at first
 SHARE_CUT = 0.7  # by a refusal above the limit, our assumed share of it shrinks to this
 SHARE_LEAST = 0.1  # even shares: it does not shrink further
-SHARE_GROW = 0.05  # by a success with much of the limit left, it grows by this many even shares
+SHARE_GROW = 0.05  # and by a success with much of the limit left, it grows by this many
+SHARE_ROOM = 3.0  # over the number of forwarders: so many times more where few tell each more of the limit
 MUCH_LEFT = 0.4  # share of a limit that counts as much
 BURST_US = 700_000  # the pace lets through at once what it earns in this time
 CROWD_TOP = 10  # with many forwarders rests are longer, by up to this much: each retry meets all others'
@@ -110,6 +111,7 @@
         self.s = settings
         self.classes = {c.name: c for c in settings.classes}
         self.least_time = min((c.deadline_us for c in settings.classes), default=SECOND)
+        self.room = 1 + SHARE_ROOM / settings.balancers
         self.kinds = {k.name: k for k in settings.kinds}
         self.tenants = {t.name: t for t in settings.tenants}
         self.idle_top = min(settings.conn_idle_us, IDLE_LEAST_US if settings.balancers > FEW else FORGET_US)
@@ -129,7 +131,7 @@
 
     def place(self, destination: int, target: int, apart: bool) -> Place:
         whose = (destination, target if apart else -1)
-        share = min(SHARE_START, self.s.balancers)
+        share = min(float(self.s.balancers), SHARE_START * self.room)
         return self.places.setdefault(whose, Place(destination, 1.0, share=share))
 
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
@@ -525,7 +527,7 @@
             self.idle_us = min(self.idle_top, self.idle_us + self.idle_us // IDLE_GROW)
             place.window, place.rest = min(place.window + 1, self.cap(place)), 0
             if place.left > MUCH_LEFT:
-                place.share = min(float(self.s.balancers), place.share + SHARE_GROW)
+                place.share = min(float(self.s.balancers), place.share + SHARE_GROW * self.room)
         if cut:
             place.window, place.cut_at = max(1.0, place.window / 2), self.now
         if cut and outcome is Outcome.FULL:
@@ -695,12 +697,13 @@
         self.actions.append(i.Send(m.id, t.id, self.timeout(m, place)))
 
     def pace(self, t: Target) -> float:
-        """The time between our calls by which the limit holds for all forwarders together. An even share may
-        be one call in a minute: only refusals make the time longer than half of what a message has."""
+        """The time between our calls by which the limit holds for all forwarders together. An even share of a
+        told limit may be one call in a minute: what is left of it tells more, so no message lapses for that."""
         limit, share = t.place.limit or (t.weight if self.s.weights_told else 0.0), t.place.share
         if not limit:
             return 0.0
-        return min(self.least_time / 2, SECOND * self.s.balancers / limit / max(1.0, share)) / min(1.0, share)
+        each = SECOND * self.s.balancers / limit / share
+        return min(each, self.least_time / 2 / min(1.0, share)) if t.place.limit else each
 
     def timeout(self, m: Message, place: Place) -> int:
         """How long an attempt may take. One that must not run twice is waited for till its end."""
