--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -144,9 +144,13 @@
         self.rotations: dict[int, Answer] = {}
 
     async def listen(self, folder: Path) -> None:
-        with _short(folder / SOCKET) as path:
-            self.listener = await asyncio.get_running_loop().create_unix_server(
-                lambda: Link(self.heard, self.lost), path)
+        """Where such a socket cannot be had, this process serves without: a new one waits for its end."""
+        try:
+            with _short(folder / SOCKET) as path:
+                self.listener = await asyncio.get_running_loop().create_unix_server(
+                    lambda: Link(self.heard, self.lost), path)
+        except (OSError, NotImplementedError) as error:
+            log.warning("no handover to a new version from here: %s", error or type(error).__name__)
 
     def close(self) -> None:
         if self.listener is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from lemonshunt.net.client import Call, Connection, Item, Pool, wait_us
 from lemonshunt.net.config import Address, Config, HostList, host
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
+from lemonshunt.net.handover import Predecessor
 from lemonshunt.net.http import BadAnswer, ResponseReader
 from lemonshunt.net.server import Door, Handed, Server
 from lemonshunt.net.store import HEAD, Owed, Store, Taken
@@ -604,3 +605,20 @@
         assert again.class_of(again.messages["m"]) == e.config.settings.classes[0]
         again.close()
     asyncio.run(scene())
+
+
+def test_a_refused_handover_socket_does_not_keep_it_from_serving(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    async def main() -> None:
+        async def refused(*args: Any, **more: Any) -> None:
+            raise OSError(38, "Function not implemented")
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_unix_server", refused, raising=False)
+        engine: Any = None
+        predecessor = Predecessor(engine)
+        await predecessor.listen(tmp_path)
+        assert predecessor.listener is None
+        predecessor.close()
+
+    asyncio.run(main())
+    assert "no handover" in caplog.text
