--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -134,7 +134,7 @@
     def place(self, destination: int, target: int, apart: bool) -> Place:
         whose = (destination, target if apart else -1)
         share = min(float(self.s.balancers), SHARE_START * self.room)
-        return self.places.setdefault(whose, Place(destination, 1.0, share=share))
+        return self.places.setdefault(whose, Place(destination, 1.0, shares=share))
 
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
@@ -493,7 +493,7 @@
             target.place.rest_until = target.place.wait_until + int(self.random.random() * event.wait_us)
         if event.report is not None:
             if not target.place.limit:  # a limit that is told needs no room for error
-                target.place.share = min(1.0, target.place.share)
+                target.place.shares = min(1.0, target.place.shares)
             target.place.limit, target.place.left = event.report.limit_per_s, event.report.left
         if m.id in self.messages and (event.closed or event.outcome is Outcome.DELIVERED):
             self.over(m)
@@ -529,11 +529,11 @@
             self.idle_us = min(self.idle_top, self.idle_us + self.idle_us // IDLE_GROW)
             place.window, place.rest = min(place.window + 1, self.cap(place)), 0
             if place.left > MUCH_LEFT:
-                place.share = min(float(self.s.balancers), place.share + SHARE_GROW * self.room)
+                place.shares = min(float(self.s.balancers), place.shares + SHARE_GROW * self.room)
         if cut:
             place.window, place.cut_at = max(1.0, place.window / 2), self.now
         if cut and outcome is Outcome.FULL:
-            place.share = max(SHARE_LEAST, place.share * SHARE_CUT)
+            place.shares = max(SHARE_LEAST, place.shares * SHARE_CUT)
             crowd = max(1, min(CROWD_TOP, self.s.balancers // FEW))
             place.rest = min(crowd * REST_TOP_US, max(crowd * REST_US, REST_TIMES * place.rest))
         if outcome is Outcome.FULL and not event.wait_us:
@@ -702,7 +702,7 @@
     def pace(self, t: Target) -> float:
         """The time between our calls by which the limit holds for all forwarders together. An even share of a
         told limit may be one call in a minute: what is left of it tells more, so none lapses for that."""
-        limit, share = t.place.limit or (t.weight if self.s.weights_told else 0.0), t.place.share
+        limit, share = t.place.limit or (t.weight if self.s.weights_told else 0.0), t.place.shares
         if not limit:
             return 0.0
         each = SECOND * self.s.balancers / limit / share
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -20,7 +21,8 @@
 LEAST_WATCH_S = 0.1  # the next watch must come within 0.2 s of the last answer
 INSIST_S = 4.0  # after a move, what discovery tells binds so soon that failures are not waited out
 INSIST_PAUSE_S = 0.2
-NOTICE_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
+NOTICE_LEAST_S = 0.02  # between two posts that fail, so that no failure makes us spin
+NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.8  # before the next post at most; doubles by each one that fails
 MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
 log = logging.getLogger("lemonshunt.discovery")
 
@@ -107,8 +109,9 @@
 class Watch:
     """Follows the list from a version on. Tells its first failure and ends; the module asks again."""
 
-    def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None]) -> None:
-        self.client, self.seq, self.listed = Client(where), seq, listed
+    def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None],
+                 seed: int) -> None:
+        self.client, self.seq, self.listed, self.random = Client(where), seq, listed, random.Random(seed)
         self.wanted, self.insist_until = False, 0.0
         self.task: asyncio.Task[None] | None = None
 
@@ -149,7 +152,7 @@
             except Exception as error:  # whatever comes back must not end the asking for good
                 log.warning("the list cannot be had: %s", error or type(error).__name__)
                 if time.monotonic() < self.insist_until:
-                    await asyncio.sleep(INSIST_PAUSE_S)
+                    await asyncio.sleep(self.random.uniform(0.5, 1.5) * INSIST_PAUSE_S)
                     continue
                 self.task = None
                 self.listed(None)
@@ -172,8 +175,8 @@
 class Notices:
     """Posts the ends that are owed, again and again until the platform has answered 204."""
 
-    def __init__(self, where: Address, book: Platform) -> None:
-        self.client, self.book = Client(where), book
+    def __init__(self, where: Address, book: Platform, seed: int) -> None:
+        self.client, self.book, self.random = Client(where), book, random.Random(seed)
         self.wanted = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
@@ -197,6 +200,11 @@
             self.task = None
         self.client.close()
 
+    def pause_s(self, failures: int) -> float:
+        """By chance up to a time that doubles: many that failed at once must not ask again in step. It stays
+        short, as a notice is overdue 300 ms after its message's time."""
+        return self.random.uniform(NOTICE_LEAST_S, min(NOTICE_TOP_S, NOTICE_FIRST_S * 2**min(failures, 8)))
+
     async def run(self) -> None:
         failures = 0
         while True:
@@ -210,7 +218,7 @@
                 except (OSError, TimeoutError, BadAnswer) as error:
                     if failures % 20 == 0:
                         log.warning("notices not accepted, trying again: %s", error or type(error).__name__)
-                    await asyncio.sleep(NOTICE_PAUSES_S[min(failures, len(NOTICE_PAUSES_S) - 1)])
+                    await asyncio.sleep(self.pause_s(failures))
                     failures += 1
                     continue
                 failures = 0
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -68,7 +68,7 @@
         self.server = Server(s, self.clock, 0, self.hand_in, self.ready)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us, 0)
         self.share_sockets(config.sockets)
-        self.notices = Notices(config.discovery, self)
+        self.notices = Notices(config.discovery, self, config.seed)
         self.derive(s)
         self.hosts: dict[str, Host] = {}
         self.numbers: dict[str, int] = {}
@@ -95,7 +95,7 @@
         seq = self.recover()
         # Another address than the list came from may count its versions anew: the whole list is asked for.
         same = self.store.source in ("", str(config.discovery))
-        self.watch = Watch(config.discovery, seq if same else NO_VERSION, self.listed)
+        self.watch = Watch(config.discovery, seq if same else NO_VERSION, self.listed, config.seed)
 
     # Starting
 
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -13,7 +13,7 @@
 # What a process that takes over is told of each record; the rest is in the journal or counted anew.
 TARGET_KEPT = ("failing", "failed_at", "tried_at", "outage_at", "back_at", "spread")
 PLACE_KEPT = ("window", "mean", "seed", "mean_at", "wait_until", "rest_until", "rest", "cut_at", "limit",
-              "left", "share", "pace_at")
+              "left", "shares", "pace_at")
 MESSAGE_KEPT = ("over_share", "waited", "avoid")
 CALL_KEPT = ("sent_at", "idle", "gap", "joined", "judged", "passed")
 
@@ -101,7 +101,7 @@
     cut_at: int = -1
     limit: float = 0.0
     left: float = 1.0
-    share: float = 1.0
+    shares: float = 1.0
     """How many even shares of its limit we take."""
     pace_at: int = 0
     """When our share of its limit has room for the next call."""
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -239,7 +239,7 @@
         out = sends(actions)[0]
         d.handle(now, [end(out, FULL, d.messages[out.message].attempts - 1)])
     assert not d.cold(d.targets[1])
-    assert d.targets[1].place.share == pytest.approx(0.1)
+    assert d.targets[1].place.shares == pytest.approx(0.1)
 
 
 def test_a_target_is_held_to_have_come_back_before_the_first_call_that_tells_so() -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,6 +18,7 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.net.client import Call, Connection, Item, Pool, wait_us
 from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.discovery import NOTICE_TOP_S, Notices
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
 from lemonshunt.net.handover import Predecessor
 from lemonshunt.net.http import BadAnswer, ResponseReader
@@ -607,6 +608,27 @@
     asyncio.run(scene())
 
 
+class Book:
+    """Owes nothing."""
+
+    def owed_ends(self) -> dict[str, Owed]:
+        return {}
+
+    def acknowledged(self, names: list[str]) -> None:
+        raise AssertionError("nothing was posted")
+
+
+def test_notices_that_40_could_not_post_are_not_posted_again_in_step() -> None:
+    """The pauses were the same for all: those that failed at once met again at each further try."""
+    fleet = [Notices(Address("127.0.0.1", 1), Book(), seed) for seed in range(40)]
+    times = [0.0] * 40
+    for failures in range(6):
+        times = [t + n.pause_s(failures) for t, n in zip(times, fleet, strict=True)]
+        slots = [int(t / 0.01) for t in times]
+        assert max(map(slots.count, slots)) <= 12
+    assert all(0 < n.pause_s(10**6) <= NOTICE_TOP_S for n in fleet)
+
+
 def test_a_refused_handover_socket_does_not_keep_it_from_serving(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
