--- a/lemonshunt/choice.py
+++ b/lemonshunt/choice.py
@@ -551,9 +551,12 @@
         back lies between the last call that failed and this one, which may be long after."""
         if outcome is Outcome.DELIVERED:
             if self.cold(target) and target.back_at < 0 and target.failing <= FAIL_MARK:
-                target.back_at = max(target.outage_at, (self.now + target.failed_at) // 2)
-                self.actions.append(i.Outage(target.id, target.outage_at, target.back_at))
-                self.actions.append(i.Note(f"target {target.id} answers again: warming"))
+                self.warming(target, max(target.outage_at, (self.now + target.failed_at) // 2))
+                # What shares a limit mostly shares its outages: the others need not each be tried first.
+                for t in self.by_destination.get(target.destination, []):
+                    if t.place is target.place and t.outage_at >= 0 and t.back_at < 0:
+                        self.warming(t, max(t.outage_at, target.back_at))
+                        t.failing = min(t.failing, FAIL_MARK)
             return
         target.failed_at = self.now
         if target.failing > FAIL_MARK:
@@ -564,6 +567,11 @@
                 self.actions.append(i.Outage(target.id, target.outage_at))
             target.back_at = -1
 
+    def warming(self, t: Target, back_at: int) -> None:
+        t.back_at = back_at
+        self.actions.append(i.Outage(t.id, t.outage_at, back_at))
+        self.actions.append(i.Note(f"target {t.id} answers again: warming"))
+
     def cold(self, t: Target) -> bool:
         """Whether the target is in an outage, or back from one and not yet warm."""
         return t.outage_at >= 0 and (t.back_at < 0 or self.now - t.back_at < self.s.warm_us)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -256,3 +256,24 @@
         actions = d.handle(now, [i.TimerDue("look")])
     d.handle(now, [end(sends(actions)[0], OK)])
     assert d.targets[1].back_at == (now + 5001 * MS) // 2
+
+
+def test_endpoints_that_share_a_limit_are_held_to_have_come_back_together() -> None:
+    """Each of three was tried first at its own next turn, up to 9 s later, while messages were given up."""
+    d = fleet(40)[0]
+    d.handle(0, [i.Listed(i.ListKind.SAVED, tuple(i.TargetEntry(n, 10, "north", "plain", weight=30.0)
+                                                  for n in (1, 2)))])
+    now = 0
+    for n in range(8):
+        now += 4 * S
+        for a in sends(d.handle(now, [ask(f"m{n}", due=now + 60 * S)])):
+            d.handle(now + MS, [end(a, i.Outcome.NO_CONNECTION), i.Withdrawn(a.message)])
+    assert all(d.cold(t) and t.back_at < 0 for t in d.targets.values())
+    d.handle(now, [ask("back", due=now + 60 * S)])
+    actions: list[i.Action] = []
+    while not sends(actions):
+        now += 50 * MS
+        actions = d.handle(now, [i.TimerDue("look")])
+    d.handle(now, [end(sends(actions)[0], OK)])
+    assert all(0 <= t.back_at <= now for t in d.targets.values())
+    assert not any(d.avoids(t) for t in d.targets)
