--- /dev/null
+++ b/lemonshunt/journal/recovery.py
@@ -0,0 +1,172 @@
+"""From the bytes in the folder to a state that is safe to go on from, and a report of what was found."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lemonshunt.journal.files import Files
+from lemonshunt.journal.format import Frame, NewerVersion, Scan, scan
+from lemonshunt.journal.state import State
+
+JOURNAL, SPARE, ASIDE = "journal", "journal.new", "journal.damaged"
+BOOT = Path("/proc/sys/kernel/random/boot_id")
+LEAST_SHIFT_US = 500_000  # the clock is kept by small steps all the time
+
+
+class Unusable(Exception):
+    """The folder's journal cannot be used by this program; the text is one line."""
+
+
+@dataclass(slots=True)
+class Report:
+    """What a recovery found and did."""
+
+    version: int = 0
+    """0: there was nothing."""
+    size: int = 0
+    records: int = 0
+    gaps: list[tuple[int, int, int]] = field(default_factory=list)
+    """Offset, bytes, and how many records are missing (-1: not known)."""
+    head_damaged: bool = False
+    torn: int = 0
+    unknown: int = 0
+    doubted: int = 0
+    """Messages that got an attempt that may have run."""
+    ended: int = 0
+    """Ordered messages that were ended as failed."""
+    lost: list[str] = field(default_factory=list)
+    another_boot: bool = False
+    shifted_us: int = 0
+    took_ms: float = 0.0
+    end: int = 0
+    number: int = 0
+    generation: int = 0
+    power: bool = False
+    """Written under that level."""
+
+    @property
+    def damaged(self) -> bool:
+        return self.head_damaged or bool(self.gaps) or self.unknown > 0
+
+    @property
+    def skipped(self) -> int:
+        return sum(size for _, size, _ in self.gaps)
+
+    @property
+    def missing(self) -> int:
+        """Records that are known to be missing; a gap of an unknown number counts as one."""
+        return sum(max(1, n) for _, _, n in self.gaps)
+
+    def figures(self) -> dict[str, Any]:
+        kept = asdict(self)
+        for name in ("gaps", "lost", "end", "number", "generation"):
+            del kept[name]
+        return {**kept, "gaps": len(self.gaps), "skipped": self.skipped, "missing": self.missing,
+                "lost": len(self.lost), "took_ms": round(self.took_ms, 1)}
+
+    def line(self) -> str:
+        if not self.version:
+            return f"journal: none; an empty start in {self.took_ms:.0f} ms"
+        more = [f"{self.records} records of version {self.version} from {self.size} bytes"]
+        if self.torn:
+            more.append(f"a torn tail of {self.torn} bytes cut")
+        if self.head_damaged:
+            more.append("its head damaged")
+        if self.gaps:
+            more.append(f"{self.skipped} damaged bytes skipped in {len(self.gaps)} places, "
+                        f"at least {self.missing} records lost")
+        if self.unknown:
+            more.append(f"{self.unknown} records of unknown form passed over")
+        if self.another_boot:
+            more.append("the machine went down since it was written")
+        if self.doubted or self.ended:
+            more.append(f"{self.doubted} messages in doubt, and {self.ended} ordered ones ended for it")
+        if self.lost:
+            more.append(f"{len(self.lost)} messages lost")
+        if self.shifted_us:
+            more.append(f"times moved by {self.shifted_us / 1e6:.1f} s with the clock")
+        return f"journal: {'; '.join(more)}; in {self.took_ms:.0f} ms"
+
+
+def this_boot() -> str:
+    """What tells this run of the machine from the one before; empty where that is not told."""
+    try:
+        return BOOT.read_text().strip()
+    except OSError:
+        return ""
+
+
+def interpret(found: Scan) -> State:
+    """The state that the records add up to, with what damage leaves in doubt marked."""
+    state = State()
+    last = found.head.checkpoint if found.head is not None else 0
+    for part in found.parts:
+        if isinstance(part, Frame):
+            state.read(part.payload)
+        elif part.missing < 0 or part.number < 0 or part.number + part.missing > last:
+            state.doubt()
+        else:
+            state.damaged = True  # within the checkpoint: whole messages are lost, and no attempts
+    return state
+
+
+def look(data: bytes) -> tuple[State, Report]:
+    """Read, with no effect and without regard to the clock or the machine."""
+    began = time.monotonic()
+    try:
+        found = scan(data)
+    except NewerVersion as error:
+        raise Unusable(f"the journal is of a newer program: {error}") from None
+    state = interpret(found)
+    report = Report(version=found.version if data else 0, size=len(data), head_damaged=found.head_damaged,
+                    gaps=[(g.at, g.size, g.missing) for g in found.gaps], torn=found.torn,
+                    unknown=state.unknown, lost=list(state.lost), end=found.end)
+    for f in found.frames:
+        report.records += 1
+        report.number = f.number + 1
+    if found.head is not None:
+        report.generation, report.power = found.head.generation, found.head.power
+    report.took_ms = (time.monotonic() - began) * 1000
+    return state, report
+
+
+def recover(files: Files, folder: Path, base_us: int, boot: str, now_us: int) -> tuple[State, Report]:
+    """What the folder holds, made safe to go on from. Writes nothing."""
+    began = time.monotonic()
+    try:
+        data = files.read(folder / JOURNAL)
+    except FileNotFoundError:
+        data = b""
+    state, report = look(data)
+    if state.clock is not None:
+        base, before = state.clock
+        same = before == boot
+        report.another_boot = bool(before and boot and not same)
+        if report.another_boot and not state.closed and not report.power:
+            state.doubt()  # what was not synced may be missing at the end without a trace
+        if same:
+            set_by = base_us - base
+        else:
+            set_by = min(0, now_us - latest(state))  # it has not run backwards: so much it was set back
+        if abs(set_by) >= LEAST_SHIFT_US:
+            state.shift(set_by)
+            report.shifted_us = set_by
+    report.doubted, report.ended = state.resolve()
+    report.lost = list(state.lost)
+    report.took_ms = (time.monotonic() - began) * 1000
+    return state, report
+
+
+def latest(state: State) -> int:
+    """The latest time that the journal shows to have passed; 0 where it shows none."""
+    times = [at for m in state.messages.values() for at, _ in m.out.values()]
+    times += [m.ran_at_us for m in state.messages.values()]
+    times += [at for pair in state.outages.values() for at in pair]
+    for m in state.messages.values():  # it was taken on no sooner than its longest time before its end
+        cls = state.class_of(m)
+        if cls is not None:
+            times.append(m.due_us - cls.deadline_us)
+    return max(times, default=0)
