--- a/lemonshunt/journal/writer.py
+++ b/lemonshunt/journal/writer.py
@@ -175,6 +175,8 @@
             self.drop_aside()
         fd = -1
         try:
+            if self.size <= self.most < self.size + len(data):
+                raise OSError(errno.ENOSPC, "two files would be over the limit on disk")
             fd = self.files.open(self.spare, anew=True)
             write_all(self.files, fd, bytes(data), 0)
             if self.worker is None:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -469,7 +469,10 @@
                         self.store.outage(self.names[a.target], a.since_us, a.back_us)
                 case i.Note():
                     log.info("%s", a.text)
-        self.store.commit(lambda ok: self.leave(ok, arriving, calls))
+        if arriving or calls or self.store.owed:
+            self.store.commit(lambda ok: self.leave(ok, arriving, calls))
+        else:  # nobody waits for what only came to its end: that costs no sync
+            self.store.flush()
 
     def leave(self, ok: bool, arriving: dict[str, tuple[Handed, Asker]],
               calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
--- /dev/null
+++ b/measure/recovery_time.py
@@ -0,0 +1,89 @@
+"""How soon service returns: the real program is started on folders with so many live messages, and with so
+much history behind few. Time to ready, to the first delivery of a fresh message to another destination, and
+what the journal told of itself. On a folder that is full the fresh message is handed in until it is taken.
+
+    python measure/recovery_time.py [REPEATS]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from lemonshunt.net.store import Rules, Store, Taken  # noqa: E402
+from lemonshunt.wirehost import settings  # noqa: E402
+from measure.figures import end_peers, row  # noqa: E402
+from tests.sockets import OK, SETTINGS, Node, Peer, Platform, always  # noqa: E402
+
+FULL = 100_000  # more than the disk limit holds
+
+
+def filled(folder: Path, live: int, history: int, overdue: bool) -> int:
+    store = Store(folder, 3_000_000)
+    made = settings(SETTINGS)
+    store.settle(Rules(made.max_attempts, made.classes))
+    for n in range(history):
+        store.take(Taken(f"past{n}", "status", 7, 10**16, None, "acme", b"x" * 200))
+        store.over(f"past{n}")
+        store.flush()
+    held = 0
+    while held < live and store.has_room(200):
+        due = 1 if overdue else int(time.time() * 1e6) + 50_000_000
+        store.take(Taken(f"m{held}", "status", 7, due, None, "acme", b"x" * 200))
+        held += 1
+        if held % 100 == 0:
+            store.flush()
+    store.close()
+    return held
+
+
+async def once(live: int, history: int, overdue: bool) -> tuple[float, float, float, int]:
+    platform = Platform()
+    await platform.start()
+    peer = await Peer(always(OK)).start()
+    platform.host("s1", peer.port)
+    platform.host("s2", peer.port, block=8)
+    platform.hosts["s1"]["share"] = 1e5  # no pace of ours in the way
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        (folder / "state").mkdir()
+        held = filled(folder / "state", live, history, overdue)
+        node = Node(folder, platform, max_open=20_000)
+        began = time.perf_counter()
+        await node.spawn()
+        await node.until_ready()
+        ready = time.perf_counter() - began
+        client = await node.client()
+        for _ in range(1000):
+            if (await client.hand_in("fresh", dest=8))[0] == 202:
+                break
+            await asyncio.sleep(0.01)
+        await peer.until(lambda: any(r.headers["x-correlation-id"] == "fresh" for r in peer.requests))
+        first = time.perf_counter() - began
+        took = (await node.figures())["journal"]["recovered"]["took_ms"]
+        client.writer.close()
+        await node.end()
+    await end_peers()
+    return ready * 1000, first * 1000, took, held
+
+
+def main() -> None:
+    repeats = min(20, int(sys.argv[1]) if len(sys.argv) > 1 else 5)
+    cases = [(10, 0, False), (1000, 0, False), (FULL, 0, False), (FULL, 0, True), (10, 1000, False),
+             (10, 20_000, False)]
+    for live, history, overdue in cases:
+        found = [asyncio.run(once(live, history, overdue)) for _ in range(repeats)]
+        what = f"{found[0][3]} live{', all overdue' if overdue else ''}, {history} past"
+        print(row(f"{what}: ready, ms", [x[0] for x in found]))
+        print(row(f"{what}: first fresh delivery, ms", [x[1] for x in found]))
+        print(row(f"{what}: reading the journal, ms", [x[2] for x in found]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_killed.py
@@ -0,0 +1,343 @@
+"""The real program, killed again and again, with real clients, endpoints and list on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from lemonshunt import interface as i
+from lemonshunt.journal import format as f
+from lemonshunt.net.client import Call
+from lemonshunt.net.config import Address, Config, HostList
+from lemonshunt.net.engine import RECALL, Engine
+from lemonshunt.net.server import Handed
+from lemonshunt.net.store import Rules, Store, Taken
+from lemonshunt.wirehost import settings
+from tests.sockets import OK, PATIENCE, ROOT, SETTINGS, Answer, Node, Platform, Request, always, hang
+from tests.test_net import engine
+from tests.test_node import node_on, play, target
+
+ROUNDS, EACH = 4, 16
+
+
+class Endpoint:
+    """Answers by a seeded chance, and keeps what each message got."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.kind = True
+        self.calls: list[tuple[str, int]] = []
+
+    async def __call__(self, request: Request) -> Answer | None:
+        name = request.headers["x-correlation-id"]
+        chance = 1.0 if self.kind else self.random.random()
+        status = 503 if chance < 0.2 else 0 if chance < 0.35 else 200
+        self.calls.append((name, status))
+        if not status:
+            await asyncio.sleep(3600)  # cut by the next kill
+        return Answer(status)
+
+
+def configure(node: Node, **more: object) -> None:
+    path = node.folder / "config.json"
+    path.write_text(json.dumps({**json.loads(path.read_text()), **more}))
+
+
+@pytest.mark.parametrize("level", ["process", "power"])
+def test_each_accepted_message_has_its_end_and_no_forbidden_copy(tmp_path: Path, level: str) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        chance = random.Random(11)
+        end = Endpoint(12)
+        await target(platform, end)
+        await target(platform, end, "s2")
+        node = Node(folder, platform, max_open=400)
+        configure(node, durability=level)
+        await node.start()
+        accepted: dict[str, str] = {}
+        handed: dict[str, list[str]] = {"A": [], "B": []}
+        try:
+            for turn in range(ROUNDS):
+                end.kind = False
+                killer = asyncio.create_task(kill_later(node, chance.uniform(0.02, 0.4)))
+                for n in range(EACH):
+                    name, cls = f"{turn}-{n}", chance.choice(("pay", "order", "status", "turns"))
+                    key = chance.choice("AB") if cls == "turns" else None
+                    more = {"X_Session_Key": key} if key else {}
+                    try:
+                        status, _ = await node.hand_in(name, cls, **more)
+                    except (OSError, asyncio.IncompleteReadError):
+                        continue  # killed before its answer: nobody was promised anything
+                    if status == 202:
+                        accepted[name] = cls
+                        if key:
+                            handed[key].append(name)
+                await killer
+                end.kind = True
+                await node.start()
+            ends = lambda: {n for n, s in end.calls if s == 200} | {x["id"] for x in platform.notices}  # noqa: E731
+            async with asyncio.timeout(PATIENCE):
+                while not set(accepted) <= ends():
+                    await asyncio.sleep(0.02)
+            await node.shows(lambda v: v["open_requests"] == 0)
+        finally:
+            await node.end()
+        assert len(accepted) > ROUNDS * EACH // 4 and len(set(accepted.values())) == 4
+        ran = Counter(name for name, status in end.calls if status != 503)
+        doubled = [n for n, cls in accepted.items() if cls == "pay" and ran[n] > 1]
+        assert not doubled
+        for key, names in handed.items():
+            seen = [n for n, status in end.calls if n in names and status != 503]
+            first = [n for k, n in enumerate(seen) if n not in seen[:k]]
+            assert first == sorted(first, key=names.index), key
+            assert all(n in seen[k - 1:k + 1] or n not in seen[:k] for k, n in enumerate(seen)), key
+        states: dict[str, set[str]] = {}
+        for x in platform.notices:
+            states.setdefault(x["id"], set()).add(x["state"])
+        assert all(len(s) == 1 for s in states.values())
+        done = subprocess.run([sys.executable, "-m", "lemonshunt.journal", "check", str(folder / "state")],
+                              cwd=ROOT, capture_output=True, text=True, timeout=60)
+        assert done.returncode == 0 and " 0 messages held, 0 ends not told" in done.stdout
+    play(scene, tmp_path)
+
+
+async def kill_later(node: Node, after: float) -> None:
+    await asyncio.sleep(after)
+    await node.end()
+
+
+def test_power_is_shown_and_counted_and_operators_hear_yes(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        node = Node(folder, platform)
+        configure(node, durability="power")
+        await node.start()
+        try:
+            for n in range(5):
+                assert (await node.hand_in(f"m{n}", "pay"))[0] == 202
+            assert await node.operate("POST", "/_endpoints/detach", b"s1") == (200, "detached\n")
+            shown = (await node.figures())["journal"]
+            assert shown["level"] == "power" and shown["syncs"] >= 6 and not shown["failed"]
+        finally:
+            assert await node.end(signal.SIGTERM) == 0
+    play(scene, tmp_path)
+
+
+def test_upgrade_under_power_carries_what_is_held(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        old = Node(folder, platform)
+        old.hold_listener()
+        configure(old, durability="power")
+        await old.start()
+        new: Node | None = None
+        try:
+            assert (await old.hand_in("a", "status"))[0] == 202
+            await peer.got(1)
+            new = await (await old.beside()).until_ready()
+            assert (await old.hand_in("b", "status"))[0] == 202
+            peer.handler = always(OK)
+            assert await old.end(signal.SIGTERM) == 0
+            await new.shows(lambda v: v["open_requests"] == 0)
+        finally:
+            await old.end()
+            if new is not None:
+                await new.end()
+    play(scene, tmp_path)
+
+
+def test_a_newer_journal_and_a_folder_that_cannot_be_used_end_the_start_in_one_line(tmp_path: Path) -> None:
+    newer = f.Head(f.VERSION + 1, 0, 1, 1, 0).bytes()
+    config = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    for case in ("newer", "a folder", "a file"):
+        state = tmp_path / case
+        if case == "a file":
+            state.write_text("not a folder")
+        else:
+            state.mkdir()
+        if case == "newer":
+            (state / "journal").write_bytes(newer)
+        elif case == "a folder":
+            (state / "journal").mkdir()
+        env = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json"), "LB_STATE": str(state)}
+        done = subprocess.run([sys.executable, "-m", "lemonshunt"], cwd=ROOT, env=env, capture_output=True,
+                              text=True, timeout=60)
+        said = [line for line in done.stderr.splitlines() if line.startswith("lemonshunt: cannot serve: ")]
+        assert done.returncode == 1 and len(said) == 1 and "Traceback" not in done.stderr, done.stderr
+    assert (tmp_path / "newer/journal").read_bytes() == newer
+
+
+# Service returns in order
+
+
+def filled(folder: Path, overdue: int, live: int, key: str | None = None) -> None:
+    """A journal with messages whose time is up, behind others that have time left."""
+    store = Store(folder, 3_000_000)
+    made = settings(SETTINGS)
+    store.settle(Rules(made.max_attempts, made.classes))
+    for n in range(live):
+        store.take(Taken(f"live{n}", "turns" if key else "status", 7, 10**16, None, "acme", b"", key))
+    for n in range(overdue):
+        store.take(Taken(f"late{n}", "status", 7, 1, None, "acme", b""))
+    store.close()
+
+
+def test_the_overdue_are_told_first_and_in_batches(tmp_path: Path) -> None:
+    filled(tmp_path, overdue=150, live=150)
+
+    async def scene() -> None:
+        e = engine(tmp_path)
+        first = [x.message for x in e.events if isinstance(x, i.Recalled)]
+        assert len(first) == RECALL and all(name.startswith("late") for name in first)
+        assert len(e.backlog) == 200 and len(e.store.messages) == 300
+        e.events.clear()
+        e.recall(RECALL)
+        second = [x.message for x in e.events if isinstance(x, i.Recalled)]
+        assert [name[:4] for name in second] == ["late"] * 50 + ["live"] * 50
+        e.store.close()
+    asyncio.run(scene())
+
+
+def test_old_messages_of_a_key_go_before_a_fresh_one(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told to the module after the fresh one, they would be overtaken by it."""
+    monkeypatch.setattr("lemonshunt.net.engine.RECALL", 5)
+    filled(tmp_path, overdue=5, live=3, key="K")
+
+    class Door:
+        left = None
+
+        def answer(self, status: object, text: str = "", **headers: str) -> None: ...
+
+    async def scene() -> None:
+        e = engine(tmp_path)
+        assert [x.key for x in e.backlog.values()] == ["K"] * 3
+        e.hand_in(Handed("fresh", "turns", 7, 10**16, None, "K", "acme", False, b""), Door())
+        names = [x.message for x in e.events if isinstance(x, i.Recalled | i.Arrived)]
+        assert names[-4:] == ["live0", "live1", "live2", "fresh"] and not e.backlog
+        e.store.close()
+    asyncio.run(scene())
+
+
+def test_ready_comes_before_the_old_work_is_done(tmp_path: Path) -> None:
+    """A thousand overdue messages, and a discovery that takes no notices: a fresh message is delivered."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        (folder / "state").mkdir()
+        filled(folder / "state", overdue=1000, live=20)
+        platform.accepts = False
+        node = await node_on(folder, platform, max_open=3000)
+        assert (await node.hand_in("fresh"))[0] == 202
+        await peer.until(lambda: any(r.headers["x-correlation-id"] == "fresh" for r in peer.requests))
+        platform.accepts = True
+        await platform.until(lambda: len({n["id"] for n in platform.notices}) == 1000)
+        await node.shows(lambda v: v["open_requests"] == 0)
+        assert {r.headers["x-correlation-id"] for r in peer.requests} == {"fresh"} | {
+            f"live{n}" for n in range(20)}
+    play(scene, tmp_path)
+
+
+def power_engine(folder: Path, hands: object, monkeypatch: pytest.MonkeyPatch) -> Engine:
+    monkeypatch.setattr("lemonshunt.net.engine.sync_thread", lambda: hands)
+    listen = Address("127.0.0.1", 9)
+    return Engine(Config("n", listen, listen, folder, 1, 192, 256, 3_000_000, HostList(1, True, ()),
+                         settings(SETTINGS), ("x0", "x1"), power=True))
+
+
+def test_a_client_that_leaves_during_the_sync_has_handed_nothing_over(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It may hand the message in elsewhere: sent on from here too, it would go twice."""
+    from tests.disk import Hands
+    hands = Hands()
+
+    class Door:
+        def __init__(self) -> None:
+            self.left = None
+            self.said: list[int] = []
+
+        def answer(self, status: int, text: str = "", **headers: str) -> None:
+            self.said.append(int(status))
+
+    async def scene() -> None:
+        e = power_engine(tmp_path, hands, monkeypatch)
+        started: list[object] = []
+        monkeypatch.setattr(e.pool, "start", started.append)
+        e.listed(HostList(2, True, tuple(engine(tmp_path / "other").config.known.hosts)))
+        while hands.work():
+            pass
+        doors = {name: Door() for name in ("stays", "goes")}
+        for name, door in doors.items():
+            e.hand_in(Handed(name, "pay", 7, e.clock() + 10**7, None, None, "acme", False, b""), door)
+        e.round()
+        assert not started and not any(d.said for d in doors.values())
+        assert doors["goes"].left is not None
+        doors["goes"].left()
+        again = Door()
+        e.hand_in(Handed("stays", "pay", 7, e.clock() + 10**7, None, None, "acme", False, b""), again)
+        assert again.said == [503]  # not before it is known to be kept
+        while hands.work():
+            pass
+        assert doors["stays"].said == [202] and doors["goes"].said == []
+        assert [item.id for call in started for item in call.items] == ["stays"]  # type: ignore[attr-defined]
+        assert list(e.store.messages) == ["stays"]
+        e.round()
+        assert "goes" not in e.dispatcher.messages
+        while hands.work():
+            pass
+        e.store.let_go()
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("cls, leaves", [
+    ("pay", False), ("order", False), ("turns", False), ("status", True)])
+def test_what_a_restart_could_double_does_not_leave_without_its_record(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cls: str, leaves: bool) -> None:
+    """On a full disk a once-only call used to leave without its record: killed then, it went twice."""
+    async def scene() -> None:
+        e = engine(tmp_path)
+        started: list[Call] = []
+        monkeypatch.setattr(e.pool, "start", started.append)
+        e.round()
+        key = "K" if cls == "turns" else None
+        e.store.take(Taken("m", cls, 7, e.clock() + 10**8, None, "acme", b"", key))
+        e.store.flush()
+        e.post(i.Recalled("m", 7, cls, e.clock() + 10**8, key))
+        e.store.log.most = e.store.size  # nothing more fits
+        e.round()
+        assert [item.id for call in started for item in call.items] == ["m"] * leaves
+        assert e.store.failed and not e.store.has_room(1)
+        e.store.log.most = 3_000_000
+        e.store.log.retry_at = 0
+        e.store.log.tend()
+        assert not e.store.failed and e.store.has_room(1)
+        e.store.close()
+    asyncio.run(scene())
+
+
+def test_a_message_that_cannot_be_written_is_not_accepted(tmp_path: Path) -> None:
+    class Door:
+        left = None
+        said: list[int] = []
+
+        def answer(self, status: int, text: str = "", **headers: str) -> None:
+            self.said.append(int(status))
+
+    async def scene() -> None:
+        e = engine(tmp_path)
+        e.round()
+        e.hand_in(Handed("m", "status", 7, e.clock() + 10**7, None, None, "acme", False, b""), Door())
+        e.store.log.most = e.store.size
+        e.round()
+        assert Door.said == [503] and not e.store.messages and e.figures.throttled["status"] == 1
+        e.round()
+        assert not e.dispatcher.messages
+        e.store.close()
+    asyncio.run(scene())
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -416,6 +416,24 @@
     assert list(back.messages) == ["a"] and not back.report.damaged
 
 
+def test_what_was_refused_for_a_full_disk_does_not_come_back() -> None:
+    """Its record is whole in a write that was cut short; its client was told to go elsewhere with it."""
+    disk = Disk()
+    store = opened(disk)
+    store.flush()
+    before = disk.used()
+    store.take(taken("a"))
+    store.flush()
+    disk.room = disk.used() + (disk.used() - before) + 10
+    said: list[bool] = []
+    store.take(taken("b"))
+    store.take(taken("c"))
+    store.commit(said.append)
+    assert said == [False]
+    disk.killed()
+    assert list(opened(disk).messages) == ["a"]
+
+
 def test_a_damaged_file_is_set_aside_only_where_it_fits() -> None:
     for most, kept in ((400_000, True), (136_000, False)):
         disk = Disk()
