Let operators check a configuration before it is used: all faults, changes, restarts

Need: a file was read only at SIGHUP, and the first fault was all that the log said.

Change: POST /_config/check reads a whole configuration with no effect and answers every fault with its path, unknown keys as warnings, what would change and what waits for a start. net/reconfigure.py compares with the file in force, marks doubled keys and numbers that are none, and lets the program's own reader build it last.

Measured: five faults of one file told in one answer; empty, cut off, not JSON and 100,000 deep are 400, 1.1 MB is 413; 21 tests, the wire on the real program.

--- a/lemonshunt/net/admin.py
+++ b/lemonshunt/net/admin.py
@@ -20,6 +20,7 @@
 MOST_CALLS = 16  # connections at a time
 MOST_HEAD = 8 * 1024
 MOST_BODY = 1024
+MOST_CONFIG = 1 << 20  # a whole configuration
 HALF_CALL_S = 2.0  # a call that is not whole after this is answered 408
 LINGER_S = 0.5  # after an answer to what was not read to its end, so that the caller can read it
 BACKLOG = 64
@@ -61,6 +62,8 @@
 
     def rotate(self, name: str, out: bool, answer: Answer) -> None: ...
 
+    def examine(self, text: bytes, answer: Answer) -> None: ...
+
 
 class Admin:
     """Listens for operators. Until it is given what to ask, it is not ready."""
@@ -84,7 +87,8 @@
 
     def handle(self, method: str, path: str, body: bytes, answer: Answer) -> None:
         routes = {"/_ready": ("GET", self.ready), "/_vars": ("GET", self.figures),
-                  "/_endpoints/detach": ("POST", self.detach), "/_endpoints/attach": ("POST", self.attach)}
+                  "/_endpoints/detach": ("POST", self.detach), "/_endpoints/attach": ("POST", self.attach),
+                  "/_config/check": ("POST", self.check)}
         if path not in routes:
             answer(HTTPStatus.NOT_FOUND, "no such call\n")
             return
@@ -106,6 +110,12 @@
         else:
             answer(HTTPStatus.OK, json.dumps(self.operated.told(), separators=(",", ":")))
 
+    def check(self, body: bytes, answer: Answer) -> None:
+        if self.operated is None:
+            answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
+        else:
+            self.operated.examine(body, answer)
+
     def detach(self, body: bytes, answer: Answer) -> None:
         self.rotate(body, True, answer)
 
@@ -141,6 +151,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.path, self.body, self.size = "", b"", 0
         self.whole = self.answered = False
+        self.room = MOST_BODY
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -157,7 +168,7 @@
     def data_received(self, data: bytes) -> None:
         self.size += len(data)
         if self.parser is None or self.whole or self.answered:
-            if self.size > 8 * (MOST_HEAD + MOST_BODY):
+            if self.size > 8 * (MOST_HEAD + self.room):
                 self.abort()
             return
         try:
@@ -166,7 +177,7 @@
             if not self.whole:
                 self.answer(HTTPStatus.BAD_REQUEST, "not a readable call\n")
             return
-        if not self.whole and self.size > MOST_HEAD + MOST_BODY:
+        if not self.whole and self.size > MOST_HEAD + self.room:
             self.answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the call is too large\n")
 
     def eof_received(self) -> bool:
@@ -180,6 +191,10 @@
     def on_url(self, url: bytes) -> None:
         self.path += url.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        if self.path.startswith("/_config/"):
+            self.room = MOST_CONFIG
+
     def on_body(self, body: bytes) -> None:
         self.body += body
 
@@ -188,7 +203,7 @@
             return
         self.whole = True
         method = self.parser.get_method().decode("latin-1")
-        if len(self.body) > MOST_BODY:
+        if len(self.body) > self.room:
             self.answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large\n")
         else:
             self.admin.handle(method, self.path.partition("?")[0], self.body, self.answer)
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -160,6 +160,11 @@
         told = json.loads(Path(path).read_bytes())
     except (OSError, ValueError) as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
+    return parse(told, environ, f" in {path}")
+
+
+def parse(told: Any, environ: Mapping[str, str], where: str = "") -> Config:
+    """The configuration that the text of a file stands for."""
     try:
         limits = told.get("limits") or {}
         facts = need(told, "settings", dict)
@@ -187,4 +192,4 @@
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
         text = " ".join(str(error).split())
-        raise ConfigError(f"bad configuration in {path}: {text}") from None
+        raise ConfigError(f"bad configuration{where}: {text}") from None
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import json
 import logging
 import time
 from collections import Counter, OrderedDict
@@ -673,6 +674,13 @@
         self.store.commit(lambda ok: answer(HTTPStatus.OK, done) if ok else answer(
             HTTPStatus.INSUFFICIENT_STORAGE, "in force, but it would not outlast a restart\n"))
 
+    def examine(self, text: bytes, answer: Answer) -> None:
+        """What an apply of this configuration would find; no effect."""
+        from lemonshunt.net.reconfigure import examine
+        verdict = examine(text, self.config)
+        status = HTTPStatus.OK if verdict.valid else HTTPStatus.UNPROCESSABLE_ENTITY
+        answer(HTTPStatus.BAD_REQUEST if verdict.unreadable else status, json.dumps(verdict.told()))
+
     # Notices
 
     def owed_ends(self) -> dict[str, Owed]:
--- /dev/null
+++ b/tests/test_reconfigure.py
@@ -0,0 +1,126 @@
+"""A configuration is looked at whole, with no effect."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lemonshunt.net.config import Config, parse
+from lemonshunt.net.reconfigure import examine, general
+from tests.sockets import OK, SETTINGS, Platform, always
+from tests.test_node import node_on, play, target
+
+ENV = {"LB_STATE": "/state"}
+FILE: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "seed": "5",
+    "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": 3}, "settings": SETTINGS}
+
+
+def force() -> Config:
+    return parse(copy.deepcopy(FILE), ENV)
+
+
+def changed(change: Callable[[Any], object]) -> bytes:
+    made = copy.deepcopy(FILE)
+    change(made)
+    return json.dumps(made).encode()
+
+
+def faults(text: bytes) -> dict[str, str]:
+    return {f["path"]: f["fault"] for f in examine(text, force(), ENV).faults}
+
+
+def test_the_file_in_force_is_valid_and_changes_nothing() -> None:
+    verdict = examine(json.dumps(FILE).encode(), force(), ENV)
+    assert verdict.valid and verdict.config == force()
+    assert not verdict.changes and not verdict.warnings and not verdict.restart
+
+
+def test_all_faults_are_told_at_once_with_their_paths() -> None:
+    def spoil(c: Any) -> None:
+        del c["settings"]["allowed"]["max_open"]
+        c["settings"]["services"][1]["deadline_us"] = 0
+        c["settings"]["services"][3]["name"] = "order"
+        c["limits"]["sockets"] = "many"
+        c["settings"]["balancers"] = float("nan")
+    assert faults(changed(spoil)) == {
+        "settings.allowed.max_open": "missing",
+        "settings.services[1].deadline_us": "not over 0",
+        "settings.services[3].name": "'order' stands there twice",
+        "limits.sockets": "a string in place of a number",
+        "settings.balancers": "not a finite number"}
+
+
+@pytest.mark.parametrize("change, path", [
+    (lambda c: c.update(discovery="nowhere"), ""),
+    (lambda c: c.update(durability="most"), ""),
+    (lambda c: c["settings"]["services"][0].update(effect="sometimes"), ""),
+    (lambda c: c["limits"].update(disk_mb=-1), "limits.disk_mb"),
+    (lambda c: c["settings"].update(services=3), "settings.services"),
+    (lambda c: c["settings"]["services"].append({"name": "new"}), "settings.services[4].aim_us"),
+    (lambda c: c.pop("limits"), "limits"),
+])
+def test_each_bad_value_is_a_fault(change: Callable[[Any], object], path: str) -> None:
+    found = faults(changed(change))
+    assert path in found and found[path]
+
+
+def test_doubled_keys_and_numbers_without_end_are_faults() -> None:
+    text = json.dumps(FILE).replace('"balancers": 1', '"balancers": 1, "balancers": 2').replace(
+        '"over_share_worth": 0.1', '"over_share_worth": 1e999').encode()
+    assert faults(text) == {"settings.balancers": "the key stands there twice",
+                            "settings.over_share_worth": "not a finite number"}
+
+
+@pytest.mark.parametrize("text", [
+    b"", b"  ", b"{", b'{"name": "n0"', b"\xff\xfe", b"[1]", b"3", b"[" * 100_000])
+def test_what_is_no_configuration_at_all_is_unreadable(text: bytes) -> None:
+    verdict = examine(text, force(), ENV)
+    assert verdict.unreadable and not verdict.valid and verdict.told()["faults"][0]["fault"]
+
+
+def test_changes_warnings_and_what_waits_for_a_start_are_told() -> None:
+    def change(c: Any) -> None:
+        c["settings"]["services"][0]["aim_us"] += 1
+        c["settings"]["services"][3] = {**c["settings"]["services"][3], "name": "fee"}
+        c.update(listen="127.0.0.1:3001", durability="power", colour="red")
+        c["limits"]["shoes"] = 2
+    verdict = examine(changed(change), force(), ENV)
+    assert verdict.valid and verdict.restart == ["listen", "durability"]
+    assert verdict.warnings == [f"{k}: not known to this version" for k in ("colour", "limits.shoes")]
+    assert verdict.changes == [
+        "listen", "limits.shoes", "settings.services[0]: order", "settings.services[3]: new, fee",
+        "settings.services: pay dropped", "durability", "colour"]
+
+
+def test_paths_are_general_without_their_places() -> None:
+    assert general("a.b[12].c[0]") == "a.b[].c[]" and general("a") == "a"
+
+
+def test_a_check_over_the_wire_has_no_effect(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        node = await node_on(folder, platform)
+        good = (folder / "config.json").read_bytes()
+        status, text = await node.operate("POST", "/_config/check", good)
+        assert status == 200 and json.loads(text) == {
+            "valid": True, "faults": [], "warnings": [], "changes": [], "restart": []}
+        told = json.loads(good)
+        told["settings"]["services"][0]["deadline_us"] = -5
+        large = {**told, "known": {"seq": 1, "whole": True, "hosts": [platform.hosts["s1"]] * 600}}
+        status, text = await node.operate("POST", "/_config/check", json.dumps(large).encode())
+        assert status == 422 and json.loads(text)["faults"] == [
+            {"path": "settings.services[0].deadline_us", "fault": "not over 0"}]
+        assert (await node.operate("POST", "/_config/check", good[:-20]))[0] == 400
+        assert (await node.operate("POST", "/_config/check"))[0] == 400
+        assert (await node.operate("GET", "/_config/check"))[0] == 405
+        assert (await node.operate("POST", "/_config/check", b"x" * 1_100_000))[0] == 413
+        figures = await node.figures()
+        assert figures["cfg_accepted"] == figures["cfg_invalid"] == 0
+        assert (await node.hand_in("m"))[0] == 202
+    play(scene, tmp_path)
