Pass SIGHUP at the old process of an upgrade on to the new one

Need: a configuration signalled to the process that had handed over was lost without a word.

Change: the old process sends it over the handover's socket, the new one reads the file as at its own SIGHUP.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -701,6 +701,7 @@
         old = self.config
         if self.predecessor.given:
             log.info("the new process reads the configuration")
+            self.predecessor.reload()
             return
         if self.holding:
             self.later.append(self.reload)
--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -3,7 +3,7 @@
 
   new: ask                    old: memory, or no
   new: prepared               old: yours, once the lock is free
-  new: answer, rotated, cancel    old: hand_in, gone, ended, rotate
+  new: answer, rotated, cancel    old: hand_in, gone, ended, rotate, reload
 """
 
 from __future__ import annotations
@@ -253,6 +253,11 @@
             self.link.send(ended=[e.message, e.attempt, e.target, e.outcome.value, e.took_us, e.closed,
                                   e.wait_us, report, e.weak])
 
+    def reload(self) -> None:
+        """SIGHUP came here, but the settings are the new process's now."""
+        if self.link is not None:
+            self.link.send(reload=True)
+
     def rotate(self, name: str, out: bool, answer: Answer) -> None:
         if self.link is None:
             answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
@@ -271,6 +276,8 @@
 
     def rotate(self, name: str, out: bool, answer: Answer) -> None: ...
 
+    def reload(self) -> None: ...
+
     def alone(self) -> None: ...
 
 
@@ -352,6 +359,8 @@
             told = None if report is None else i.LoadReport(*report)
             self.engine.told_end(i.Ended(
                 message, attempt, target, i.Outcome(outcome), took_us, closed, wait_us, told, weak))
+        elif "reload" in line:
+            self.engine.reload()
         elif "rotate" in line:
             number, name, out = line["rotate"]
             self.engine.rotate(name, out, lambda status, text: self.link.send(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,8 @@
 
 from lemonshunt.net.handover import Lock
 from tests.sockets import OK, PATIENCE, ROOT, Answer, Node, Peer, Platform, always, free_port, hang, message
-from tests.test_node import folder_nodes, play, target
+from tests.test_node import configure, folder_nodes, play, target
+from tests.test_operate import classes
 
 
 async def first_on(folder: Path, platform: Platform, **more: Any) -> Node:
@@ -125,6 +126,23 @@
     play(scene, tmp_path)
 
 
+def test_a_new_configuration_signalled_to_the_old_process_reaches_the_new_one(tmp_path: Path) -> None:
+    """It was lost: who had sent the signal saw neither a yes nor a no anywhere."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, hang)
+        old = await first_on(folder, platform)
+        assert (await old.hand_in("out"))[0] == 202
+        new = await second(old)
+        configure(old, settings=classes(fresh={"deadline_us": 9_000_000}))
+        old.process.send_signal(signal.SIGHUP)
+        f = await new.shows(lambda f: f["cfg_accepted"] == 1)
+        assert f["fulfilled"]["fresh"] == 0
+        (folder / "config.json").write_text("{")
+        old.process.send_signal(signal.SIGHUP)
+        await new.shows(lambda f: f["cfg_invalid"] == 1)
+    play(scene, tmp_path)
+
+
 def test_what_the_old_process_had_out_when_it_died_goes_again(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         gone = await target(platform, hang)
