Tell which settings are in force by a digest that a fleet can be compared by

Need: after a SIGHUP to many forwarders nobody could tell who runs what.

Change: GET /_config answers the digest of the canonical form (without what each forwarder has its own of), where it came from and since when; what waits for a start does not count as in force.

Measured: the same settings written otherwise give the same digest, a file turned down leaves it.

--- a/lemonshunt/net/admin.py
+++ b/lemonshunt/net/admin.py
@@ -64,6 +64,8 @@
 
     def examine(self, text: bytes, answer: Answer) -> None: ...
 
+    def in_force(self) -> dict[str, str]: ...
+
 
 class Admin:
     """Listens for operators. Until it is given what to ask, it is not ready."""
@@ -88,7 +90,7 @@
     def handle(self, method: str, path: str, body: bytes, answer: Answer) -> None:
         routes = {"/_ready": ("GET", self.ready), "/_vars": ("GET", self.figures),
                   "/_endpoints/detach": ("POST", self.detach), "/_endpoints/attach": ("POST", self.attach),
-                  "/_config/check": ("POST", self.check)}
+                  "/_config": ("GET", self.config), "/_config/check": ("POST", self.check)}
         if path not in routes:
             answer(HTTPStatus.NOT_FOUND, "no such call\n")
             return
@@ -110,6 +112,12 @@
         else:
             answer(HTTPStatus.OK, json.dumps(self.operated.told(), separators=(",", ":")))
 
+    def config(self, body: bytes, answer: Answer) -> None:
+        if self.operated is None:
+            answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
+        else:
+            answer(HTTPStatus.OK, json.dumps(self.operated.in_force()))
+
     def check(self, body: bytes, answer: Answer) -> None:
         if self.operated is None:
             answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -24,6 +24,7 @@
 from lemonshunt.net.config import Config, ConfigError, Host, HostList, host, replacement
 from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
 from lemonshunt.net.handover import Line, Lock, Predecessor, Successor
+from lemonshunt.net.reconfigure import InForce, digest, examine
 from lemonshunt.net.server import Asker, Handed, Server
 from lemonshunt.net.store import Owed, Rules, Store, Taken, Worker
 from lemonshunt.state import Target
@@ -66,6 +67,11 @@
     return SyncThread()
 
 
+def level(config: Config) -> str:
+    """What is in force; another in a file waits for a start."""
+    return "power" if config.power else "process"
+
+
 class Engine:
     """With a `successor`, it takes over from a process that still runs: nothing is written until that has let
     go of the journal. The clock, the numbers of targets and what the module knows go on from there."""
@@ -83,6 +89,7 @@
         self.share_sockets(config.sockets)
         self.notices = Notices(config.discovery, self, config.seed)
         self.derive(s)
+        self.force = InForce(digest({**config.raw, "durability": level(config)}), "start", time.time())
         self.hosts: dict[str, Host] = {}
         self.numbers: dict[str, int] = {}
         self.names: dict[int, str] = {}
@@ -676,11 +683,13 @@
 
     def examine(self, text: bytes, answer: Answer) -> None:
         """What an apply of this configuration would find; no effect."""
-        from lemonshunt.net.reconfigure import examine
         verdict = examine(text, self.config)
         status = HTTPStatus.OK if verdict.valid else HTTPStatus.UNPROCESSABLE_ENTITY
         answer(HTTPStatus.BAD_REQUEST if verdict.unreadable else status, json.dumps(verdict.told()))
 
+    def in_force(self) -> dict[str, str]:
+        return self.force.told()
+
     # Notices
 
     def owed_ends(self) -> dict[str, Owed]:
@@ -717,6 +726,7 @@
         fixed = ("name", "listen", "state", "admin", "power")
         later = [f for f in fixed if getattr(new, f) != getattr(old, f)]
         self.config = replace(new, **{f: getattr(old, f) for f in later}, known=old.known, seed=old.seed)
+        self.force = InForce(digest({**new.raw, "durability": level(old)}), "SIGHUP", time.time())
         self.share_sockets(new.sockets)
         self.store.most = self.store.bound(new.disk_bytes)
         if (new.settings, new.report_fields) != (old.settings, old.report_fields):
--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -3,16 +3,20 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import math
 import os
 import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from typing import Any
 
 from lemonshunt.net.config import Config, ConfigError, parse
 
+OWN = ("name", "listen", "admin_addr", "known", "seed")
+"""What each forwarder has its own of."""
 MOST_TOLD = 200  # faults, warnings and changes that are named
 MOST_DEEP = 60
 FIXED = ("name", "listen", "state", "admin", "power")
@@ -74,6 +78,26 @@
     return made
 
 
+def digest(raw: Mapping[str, Any]) -> str:
+    """The same for all forwarders that run the same, however their files are written."""
+    told = {key: value for key, value in raw.items() if key not in OWN}
+    text = json.dumps(told, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+    return hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """What is in force, and how that came."""
+
+    digest: str
+    origin: str
+    since_s: float
+
+    def told(self) -> dict[str, str]:
+        since = datetime.fromtimestamp(self.since_s, UTC).isoformat(timespec="milliseconds")
+        return {"digest": self.digest, "origin": self.origin, "since": since}
+
+
 def examine(text: bytes, old: Config, environ: Mapping[str, str] = os.environ) -> Verdict:
     """Look at a whole configuration that is to replace the one in force. No effect."""
     verdict = Verdict()
--- a/tests/test_reconfigure.py
+++ b/tests/test_reconfigure.py
@@ -11,9 +11,10 @@
 import pytest
 
 from lemonshunt.net.config import Config, parse
-from lemonshunt.net.reconfigure import examine, general
+from lemonshunt.net.reconfigure import digest, examine, general
 from tests.sockets import OK, SETTINGS, Platform, always
 from tests.test_node import node_on, play, target
+from tests.test_operate import classes, hang_up
 
 ENV = {"LB_STATE": "/state"}
 FILE: dict[str, Any] = {
@@ -102,6 +103,39 @@
     assert general("a.b[12].c[0]") == "a.b[].c[]" and general("a") == "a"
 
 
+def test_a_digest_goes_by_what_is_run_and_not_by_how_it_is_written() -> None:
+    other = {key: FILE[key] for key in reversed(FILE)}
+    other |= {"name": "n1", "listen": "127.0.0.1:3009", "seed": "6", "known": None, "admin_addr": "x:1"}
+    assert digest(other) == digest(FILE) == digest(force().raw)
+    assert digest({**FILE, "discovery": "127.0.0.1:8501"}) != digest(FILE)
+
+
+def test_a_fleet_can_be_asked_who_runs_what(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        node = await node_on(folder, platform)
+
+        async def in_force() -> dict[str, str]:
+            status, text = await node.operate("GET", "/_config")
+            assert status == 200
+            return dict(json.loads(text))
+
+        assert (await in_force())["origin"] == "start"
+        await hang_up(node, durability="process")
+        first = await in_force()
+        assert first["origin"] == "SIGHUP" and len(first["digest"]) == 64 and first["since"]
+        await hang_up(node, settings=classes(fresh={}))
+        second = await in_force()
+        assert second["origin"] == "SIGHUP" and second["digest"] != first["digest"]
+        await hang_up(node, "cfg_invalid", settings=3)
+        assert await in_force() == second
+        await hang_up(node, settings=classes(fresh={}), durability="power")  # waits for a start
+        assert (await in_force())["digest"] == second["digest"]
+        await hang_up(node, settings=SETTINGS, durability="process")
+        assert (await in_force())["digest"] == first["digest"]
+        assert (await node.operate("POST", "/_config"))[0] == 405
+    play(scene, tmp_path)
+
+
 def test_a_check_over_the_wire_has_no_effect(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         await target(platform, always(OK))
