--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -347,9 +347,7 @@
     store.take(taken("a"))
     store.commit(said.append)
     disk.bad_sync = True
-    hands.work()
-    while hands.work():
-        pass
+    assert sum(hands.work() for _ in range(10)) < 10  # it does not try without a pause
     assert said == [False] and not store.has_room(10) and store.log.behind
     disk.bad_sync = False
     store.log.retry_at = 0
