Add the fleet lab: many forwarders on loopback, faults on every link, a verdict

lemonshunt/lab (python -m lemonshunt.lab check|run|report): an experiment file checked whole before anything starts, each fault with its path; an open-loop load fixed by the seed; stand-in endpoints and list written from PROTOCOL; a fault proxy on every link (delay with jitter, drop, reset under a request, silence, one way, a zone's links at once); SIGKILL, SIGTERM, SIGSTOP and SIGCONT, restarts with the folder kept or lost; records on one monotonic clock, a checker (lost, doubled, late, phantom calls, HDR latency), the load's lag with a bound that marks a run invalid, plots with the faults drawn. Every process is ended by its id.

The checker agrees with a simple model over 300 drawn histories, a planted lost and doubled message among them.

--- /dev/null
+++ b/lemonshunt/lab/load.py
@@ -0,0 +1,139 @@
+"""The load side of a lab run: clients that hand messages in as PROTOCOL (Clients to forwarders) says, each at
+its planned time whatever the fleet does, with a try on the next forwarder where no answer came."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lemonshunt.lab.experiment import Experiment
+from lemonshunt.lab.plan import Planned
+from lemonshunt.lab.proxy import reset
+
+TRIES = 2
+HEAD_LIMIT = 16384
+
+
+@dataclass
+class Front:
+    """Idle client connections per forwarder, as a front that keeps them and opens more when all are busy."""
+
+    ports: list[int]
+    idle: list[list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.idle = [[] for _ in self.ports]
+
+    async def take(self, n: int, limit_s: float) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        while self.idle[n]:
+            reader, writer = self.idle[n].pop()
+            if not writer.is_closing() and not reader.at_eof():
+                return reader, writer
+        async with asyncio.timeout(limit_s):
+            return await asyncio.open_connection("127.0.0.1", self.ports[n], limit=HEAD_LIMIT)
+
+    def give_back(self, n: int, pair: tuple[asyncio.StreamReader, asyncio.StreamWriter]) -> None:
+        self.idle[n].append(pair)
+
+    def close(self) -> None:
+        for pairs in self.idle:
+            for _, writer in pairs:
+                reset(writer)
+
+
+def request(p: Planned, name: str, left_s: float, body: bytes, again: bool) -> bytes:
+    lines = [
+        f"POST /{p.cls} HTTP/1.1",
+        "Host: origin.svc",
+        f"X-Correlation-Id: {name}",
+        "X-Account: acme",
+        f"X-Time-Left: {left_s:.3f}",
+        f"Idempotency-Key: {p.key}",
+        f"Content-Length: {len(body)}",
+        f"X-Addressing: dest={p.destination}",
+    ] + (["X-Repeat: again"] if again else [])
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def status_of(reader: asyncio.StreamReader) -> int:
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    length = next(
+        (int(v) for k, _, v in (x.partition(":") for x in lines[1:]) if k.lower() == "content-length"), 0
+    )
+    await reader.readexactly(length)
+    return int(lines[0].split(" ")[1])
+
+
+@dataclass
+class Driver:
+    experiment: Experiment
+    front: Front
+    record: Callable[[dict[str, Any]], None]
+    clock: Callable[[], int] = time.monotonic_ns
+    deadlines_ns: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.deadlines_ns = {c.name: int(c.deadline_s * 1e9) for c in self.experiment.load.classes}
+        self.body = b"x" * self.experiment.load.body_bytes
+
+    async def run(self, planned: list[Planned]) -> None:
+        """Send every message at its time; returns when all have their answers or gave up."""
+        tasks: set[asyncio.Task[None]] = set()
+        for p in planned:
+            wait = (p.due_ns - self.clock()) / 1e9
+            if wait > 0:
+                await asyncio.sleep(wait)
+            task = asyncio.create_task(self.send(p))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.gather(*tasks)
+
+    async def send(self, p: Planned) -> None:
+        timeout = self.experiment.load.answer_timeout_s
+        forwarders = self.experiment.fleet.forwarders
+        for n in range(TRIES):
+            sent = self.clock()
+            left = (p.due_ns + self.deadlines_ns[p.cls] - sent) / 1e9
+            name = f"{p.key}.{n}"
+            target = (p.forwarder + n) % forwarders
+            status, error = await self._try(target, request(p, name, left, self.body, n > 0), timeout)
+            self.record(
+                {
+                    "kind": "try",
+                    "key": p.key,
+                    "id": name,
+                    "cls": p.cls,
+                    "destination": p.destination,
+                    "forwarder": target,
+                    "due_ns": p.due_ns,
+                    "sent_ns": sent,
+                    "answer_ns": self.clock(),
+                    "status": status,
+                    "error": error,
+                }
+            )
+            if status or left <= timeout:
+                return
+
+    async def _try(self, n: int, data: bytes, timeout: float) -> tuple[int, str]:
+        try:
+            pair = await self.front.take(n, timeout)
+        except (OSError, TimeoutError) as error:
+            return 0, f"connect: {type(error).__name__}"
+        reader, writer = pair
+        try:
+            writer.write(data)
+            async with asyncio.timeout(timeout):
+                status = await status_of(reader)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError) as error:
+            with contextlib.suppress(OSError):
+                writer.close()
+            return 0, type(error).__name__
+        self.front.give_back(n, pair)
+        return status, ""
--- /dev/null
+++ b/lemonshunt/lab/standins.py
@@ -0,0 +1,189 @@
+"""Stand-ins for what the forwarder serves, written from PROTOCOL: endpoints (Forwarders to endpoints) and
+the platform's list and notices (Discovery, Notices). They run in the lab's process, on its clock."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+HEAD_LIMIT = 16384
+BODY_LIMIT = 65536
+Record = Callable[[dict[str, Any]], None]
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str], bytes] | None:
+    """One HTTP/1.1 request: method, path, headers (lower-case names), body; None at a clean end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    except asyncio.LimitOverrunError:
+        raise ValueError("head too large") from None
+    lines = head.decode("latin-1").split("\r\n")
+    method, path, _ = (lines[0].split(" ", 2) + ["", ""])[:3]
+    headers = {
+        k.strip().lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:] if line)
+    }
+    length = int(headers.get("content-length", "0") or 0)
+    if not 0 <= length <= BODY_LIMIT:
+        raise ValueError("body too large")
+    return method, path, headers, await reader.readexactly(length)
+
+
+def answer(status: int, body: bytes = b"", **headers: str) -> bytes:
+    lines = [
+        f"HTTP/1.1 {status} X",
+        f"Content-Length: {len(body)}",
+        *(f"{k.replace('_', '-')}: {v}" for k, v in headers.items()),
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """A keep-alive HTTP server on loopback whose ``handle`` gives the bytes of each answer."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> Self:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=HEAD_LIMIT)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection, as a process that ends."""
+        from lemonshunt.lab.proxy import reset
+
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def handle(self, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
+        raise NotImplementedError
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                writer.write(await self.handle(*request))
+                await writer.drain()
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # a peer gone, or the lab ending: the connection ends with it
+        finally:
+            self.writers.discard(writer)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+
+@dataclass
+class Behaviour:
+    """What an endpoint does now; the lab's timeline changes it."""
+
+    service_ms: float = 2.0
+    slow_ms: float = 0.0
+    failing: float = 0.0
+    limit: int = 0
+    """Calls at once before 503; 0 for no limit."""
+    cold_until_ns: int = 0
+    cold_ms: float = 0.0
+
+
+@dataclass
+class Endpoint(Server):
+    name: str = ""
+    destination: int = 0
+    seed: int = 0
+    clock: Callable[[], int] = time.monotonic_ns
+    record: Record = lambda _: None
+    behaviour: Behaviour = field(default_factory=Behaviour)
+
+    def __post_init__(self) -> None:
+        Server.__init__(self)
+        self.chance = random.Random(self.seed)
+        self.busy = 0
+
+    async def handle(self, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
+        if method == "GET" and path == "/alive":
+            return answer(200)
+        if method != "POST" or path != "/hook":
+            return answer(404)
+        status = await self._run()
+        self.record(
+            {
+                "kind": "call",
+                "endpoint": self.name,
+                "destination": self.destination,
+                "id": headers.get("x-correlation-id", ""),
+                "key": headers.get("idempotency-key", ""),
+                "status": status,
+                "at_ns": self.clock(),
+            }
+        )
+        return answer(status)
+
+    async def _run(self) -> int:
+        b = self.behaviour
+        if b.limit and self.busy >= b.limit:
+            return 503
+        self.busy += 1
+        try:
+            cold = b.cold_ms if self.clock() < b.cold_until_ns else 0.0
+            await asyncio.sleep((b.service_ms + b.slow_ms + cold) / 1000)
+        finally:
+            self.busy -= 1
+        return 500 if self.chance.random() < b.failing else 200
+
+
+@dataclass
+class ListService(Server):
+    """The platform's list for one forwarder (its dials are that forwarder's proxies), and the notices."""
+
+    hosts: list[dict[str, Any]] = field(default_factory=list)
+    clock: Callable[[], int] = time.monotonic_ns
+    record: Record = lambda _: None
+    seq: int = 1
+
+    def __post_init__(self) -> None:
+        Server.__init__(self)
+        self.changed = asyncio.Event()
+
+    async def handle(self, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
+        if method == "POST" and path == "/v1/notices":
+            return self._notices(body)
+        if method != "GET" or not path.startswith("/discovery/hosts"):
+            return answer(404)
+        query = dict(p.partition("=")[::2] for p in path.partition("?")[2].split("&") if p)
+        since, hold = int(query.get("from", "-1") or -1), min(int(query.get("hold_ms", "0") or 0), 60_000)
+        if 0 <= since == self.seq and hold:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(hold / 1000):
+                    await self.changed.wait()
+            if since == self.seq:
+                return answer(200, json.dumps({"seq": self.seq, "whole": False, "hosts": []}).encode())
+        return answer(200, json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode())
+
+    def _notices(self, body: bytes) -> bytes:
+        try:
+            told = [json.loads(line) for line in body.splitlines() if line.strip()]
+        except ValueError:
+            return answer(400)
+        for notice in told:
+            if isinstance(notice, dict) and "id" in notice:
+                self.record(
+                    {
+                        "kind": "notice",
+                        "id": str(notice["id"]),
+                        "state": str(notice.get("state")),
+                        "at_ns": self.clock(),
+                    }
+                )
+        return answer(204)
--- /dev/null
+++ b/measure/lab_load.py
@@ -0,0 +1,70 @@
+"""How fast the lab's load side holds its schedule: the 99th percentile and the largest lag of a send behind
+its planned time, at rising rates, with 3 and with 30 forwarders (no faults). The load, proxies and stand-ins
+share the lab's one process, so a lag here is the lab's own limit, not the fleet's.
+
+    python measure/lab_load.py [RATE ...]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from lemonshunt.lab.experiment import parse  # noqa: E402
+from lemonshunt.lab.runner import run  # noqa: E402
+
+SIZES = (3, 30)
+RATES = (250, 500, 1000, 2000, 4000)
+HOLD_MS = 1.0
+TEXT = """
+name = "rate"
+duration_s = 3
+settle_s = 5
+[fleet]
+forwarders = {forwarders}
+destinations = [7, 8]
+endpoints_per_destination = 2
+zones = ["a"]
+endpoint_rate = 100000
+slots = 64
+[load]
+rate_per_s = {rate}
+max_lag_ms = {hold}
+classes = [{{ name = "status", share = 1, deadline_s = 5, effect = "repeatable" }}]
+"""
+
+
+def once(forwarders: int, rate: float) -> dict[str, float]:
+    experiment = parse(TEXT.format(forwarders=forwarders, rate=rate, hold=HOLD_MS))
+    with tempfile.TemporaryDirectory() as folder:
+        result = asyncio.run(run(experiment, 1, Path(folder)))
+    return {
+        **result["lag_ms"],
+        "lost": result["lost"],
+        "delivered": result["total"]["delivered"],
+        "messages": result["total"]["messages"],
+    }
+
+
+def main() -> None:
+    rates = [float(r) for r in sys.argv[1:]] or RATES
+    for size in SIZES:
+        held = 0.0
+        for rate in rates:
+            r = once(size, rate)
+            print(
+                f"{size} forwarders, {rate:g}/s: lag p99 {r['p99']:.2f} ms, max {r['max']:.2f} ms; "
+                f"{r['delivered']:.0f} of {r['messages']:.0f} delivered, lost {r['lost']:.0f}"
+            )
+            if r["p99"] <= HOLD_MS:
+                held = rate
+        print(f"{size} forwarders: the largest rate held within {HOLD_MS:g} ms (p99): {held:g}/s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,193 @@
+"""The fleet lab: its checker against a simple model, its file check, its proxy, and one real small fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from lemonshunt.lab import __main__ as cli
+from lemonshunt.lab import checker
+from lemonshunt.lab.experiment import ExperimentError, parse, read
+from lemonshunt.lab.proxy import Link
+
+EXPERIMENTS = Path(__file__).resolve().parent.parent / "lemonshunt" / "lab" / "experiments"
+EFFECTS = {"pay": "once", "status": "repeatable"}
+DEADLINES = {"pay": 10**9, "status": 10**9}
+
+# A message: its class, the statuses of its tries, 200s at endpoints under its last try, and a notice or not.
+message = st.tuples(
+    st.sampled_from(sorted(EFFECTS)),
+    st.lists(st.sampled_from([202, 429, 0]), min_size=1, max_size=2),
+    st.integers(0, 3),
+    st.booleans(),
+)
+
+
+def records(messages: list[tuple[str, list[int], int, bool]]) -> list[dict[str, object]]:
+    out: list[dict[str, object]] = []
+    for n, (cls, statuses, delivered, noticed) in enumerate(messages):
+        name = f"k{n}"
+        for t, status in enumerate(statuses):
+            out.append(
+                {
+                    "kind": "try",
+                    "key": name,
+                    "id": f"{name}.{t}",
+                    "cls": cls,
+                    "destination": 7,
+                    "forwarder": 0,
+                    "due_ns": 0,
+                    "sent_ns": 5,
+                    "answer_ns": 9,
+                    "status": status,
+                }
+            )
+        last = f"{name}.{len(statuses) - 1}"
+        out += [
+            {
+                "kind": "call",
+                "key": name,
+                "id": last,
+                "endpoint": "e0",
+                "destination": 7,
+                "status": 200,
+                "at_ns": 10 + d,
+            }
+            for d in range(delivered)
+        ]
+        if noticed:
+            out.append({"kind": "notice", "id": last, "state": "failed", "at_ns": 20})
+    return out
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.lists(message, max_size=30))
+@example([("pay", [202], 0, False), ("pay", [202], 2, False)])  # one lost and one doubled, planted
+def test_the_checker_agrees_with_a_simple_model(messages: list[tuple[str, list[int], int, bool]]) -> None:
+    result = checker.verdict(records(messages), EFFECTS, DEADLINES, max_lag_ms=1.0)
+    taken = [(cls, d, noticed) for cls, statuses, d, noticed in messages if 202 in statuses]
+    lost = sum(1 for _, d, noticed in taken if not d and not noticed)
+    doubled = sum(1 for cls, _, d, _ in messages if EFFECTS[cls] == "once" and d > 1)
+    assert (result["lost"], result["doubled"]) == (lost, doubled)
+    assert checker.bad(result) == bool(lost or doubled)
+    assert result["total"]["messages"] == len(messages)
+    assert result["total"]["delivered"] == sum(1 for m in messages if m[2])
+    assert result["total"]["accepted"] == len(taken)
+
+
+def test_every_fault_of_a_file_is_told_with_its_path() -> None:
+    text = """
+        duration_s = 5
+        colour = "red"
+        [fleet]
+        forwarders = 0
+        zones = ["a"]
+        [load]
+        rate_per_s = 10
+        classes = [{ name = "pay", effect = "twice" }]
+        [[faults]]
+        at_s = 9
+        kind = "kill"
+        target = "f7"
+        [[faults]]
+        at_s = 1
+        kind = "silence"
+        target = "f0>nowhere"
+    """
+    with pytest.raises(ExperimentError) as caught:
+        parse(text)
+    assert caught.value.faults == [
+        "colour: unknown key",
+        "fleet.forwarders: 0 must be 1 to 64",
+        "load.classes[0].effect: 'twice' is one of ('once', 'repeatable')",
+        "faults[0].at_s: 9.0 is not within the run",
+        "faults[0].target: 'f7' is no forwarder",
+        "faults[1].target: 'f0>nowhere' names no link",
+        "faults[1].for_s: a link fault needs a time over 0",
+    ]
+    assert cli.main(["check", str(EXPERIMENTS / "missing.toml")]) == 2
+
+
+@pytest.mark.parametrize("path", sorted(EXPERIMENTS.glob("*.toml")), ids=lambda p: p.stem)
+def test_the_kept_experiments_are_sound(path: Path) -> None:
+    assert read(path).faults
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await reader.read(100):
+            writer.write(data)
+    except (OSError, asyncio.CancelledError):
+        writer.close()
+
+
+async def through(state: str) -> tuple[bytes | str, bytes | str]:
+    """What a client reads through a link in ``state``, and then once the link has healed."""
+    peer = await asyncio.start_server(echo, "127.0.0.1", 0)
+    link = await Link("t", "127.0.0.1", peer.sockets[0].getsockname()[1], seed=1).start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", link.listen)
+    link.set(state, delay_ms=5)
+    seen: list[bytes | str] = []
+    for _ in range(2):
+        try:
+            writer.write(b"ping")
+            async with asyncio.timeout(0.5):
+                seen.append(await reader.readexactly(4))
+        except TimeoutError:
+            seen.append("silent")
+        except (OSError, asyncio.IncompleteReadError):
+            seen.append("reset")
+        link.set("pass")
+    await link.stop()
+    peer.close()
+    return seen[0], seen[1]
+
+
+@pytest.mark.parametrize(
+    ("state", "seen"),
+    [
+        ("pass", (b"ping", b"ping")),
+        ("delay", (b"ping", b"ping")),
+        ("oneway", ("silent", b"ping")),
+        ("silence", ("silent", "reset")),
+        ("drop", ("reset", "reset")),
+        ("reset", ("reset", "reset")),
+    ],
+)
+def test_each_state_of_a_link_does_what_it_says(state: str, seen: tuple[object, object]) -> None:
+    assert asyncio.run(through(state)) == seen
+
+
+def test_a_small_fleet_loses_nothing_through_a_kill_and_a_partition(tmp_path: Path) -> None:
+    code = cli.main(["run", str(EXPERIMENTS / "kill.toml"), "--out", str(tmp_path), "--seed", "3"])
+    result = json.loads((tmp_path / "verdict.json").read_text())
+    assert (code, result["lost"], result["doubled"]) == (0, 0, 0)
+    assert len(result["pids"]["f1"]) == 2, "f1 was killed and started again"
+    assert result["total"]["delivered"] > result["total"]["messages"] / 2
+    faults = [
+        json.loads(line)
+        for line in (tmp_path / "records.jsonl").read_text().splitlines()
+        if '"fault"' in line
+    ]
+    assert [f["fault"] for f in faults] == ["kill", "silence"]
+    assert (tmp_path / "report.png").stat().st_size > 0
+
+
+def test_a_call_that_nobody_handed_in_voids_the_run() -> None:
+    call = {
+        "kind": "call",
+        "key": "",
+        "id": "x",
+        "endpoint": "e0",
+        "destination": 7,
+        "status": 200,
+        "at_ns": 1,
+    }
+    result = checker.verdict([call], EFFECTS, DEADLINES, max_lag_ms=1.0)
+    assert result["phantoms"] == 1
+    assert checker.bad(result)
