--- a/lemonshunt/lab/__main__.py
+++ b/lemonshunt/lab/__main__.py
@@ -49,10 +49,14 @@
             f"{experiment.load.rate_per_s:g} messages a second for {experiment.duration_s:g} s"
         )
         return 0
+    from lemonshunt.lab.fleet import StartError
     from lemonshunt.lab.runner import run
 
     try:
         result = asyncio.run(run(experiment, experiment.seed if args.seed is None else args.seed, args.out))
+    except StartError as error:
+        print(f"lab: {error}; every process it started was ended", file=sys.stderr)
+        return 2
     except KeyboardInterrupt:
         print("lab: interrupted; every process it started was ended", file=sys.stderr)
         return 130
--- a/lemonshunt/lab/fleet.py
+++ b/lemonshunt/lab/fleet.py
@@ -19,11 +19,17 @@
 ROOT = Path(__file__).resolve().parents[2]
 
 
-def free_port() -> int:
-    """A port that was free a moment ago on 127.0.0.1 (the forwarder binds it itself)."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return int(s.getsockname()[1])
+class StartError(Exception):
+    """A forwarder did not come up; the text names it and its log."""
+
+
+def reserve(held: list[socket.socket]) -> int:
+    """A port on 127.0.0.1 for a forwarder to bind itself. Its socket stays bound in ``held`` until the lab's
+    own servers are up, so that none of them is handed the same port by the kernel."""
+    s = socket.socket()
+    s.bind(("127.0.0.1", 0))
+    held.append(s)
+    return int(s.getsockname()[1])
 
 
 async def ready(port: int, deadline_s: float = READY_S) -> None:
@@ -48,7 +54,7 @@
     name: str
     folder: Path
     config: dict[str, Any]
-    admin: int = field(default_factory=free_port)
+    admin: int
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
     pids: list[int] = field(default_factory=list)
--- a/lemonshunt/lab/report.py
+++ b/lemonshunt/lab/report.py
@@ -97,7 +97,8 @@
     low.legend(loc="upper right", fontsize=8)
     top.set_title(
         f"{result.get('experiment', '')}, seed {result.get('seed', '')}: lost {result['lost']}, "
-        f"doubled {result['doubled']}{'' if result['valid'] else ', INVALID (load lagged)'}"
+        f"doubled {result['doubled']}, resent {result['total'].get('resent', 0)}"
+        f"{'' if result['valid'] else ', INVALID (load lagged)'}"
     )
     figure.tight_layout()
     picture = folder / "report.png"
@@ -108,7 +109,18 @@
 
 
 def page(result: Mapping[str, Any]) -> str:
-    names = ("messages", "accepted", "refused", "failed", "delivered", "late", "noticed", "lost", "doubled")
+    names = (
+        "messages",
+        "accepted",
+        "refused",
+        "failed",
+        "delivered",
+        "late",
+        "noticed",
+        "lost",
+        "doubled",
+        "resent",
+    )
     lines = [
         f"# {result.get('experiment', '')}, seed {result.get('seed', '')}",
         "",
