Let a forwarder log JSON lines with each message's arrival, send and end

The fleet lab could not put one message's way across processes together: the forwarder wrote plain lines, none of one message.

log_format = "json" in the configuration (checked at the start, a restart at /_config/check) puts structlog's JSON renderer on the root logger, with process, role, pid, the machine's monotonic time and message_id, and turns on a trace logger at arrival, send and end; without it structlog is not imported and the trace logger is off. The lab starts its forwarders so, and `lab path DIR KEY` joins a message's records and lines in time order. The lab's tallies share one list of counts.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -46,6 +46,13 @@
     except ConfigError as error:
         print(f"lemonshunt: {error}", file=sys.stderr)
         return 2
+    if config.log_json:
+        try:
+            from lemonshunt.net.logjson import install
+            install(config.name)
+        except ImportError:
+            print("lemonshunt: log_format 'json' needs structlog (requirements.txt)", file=sys.stderr)
+            return 2
     try:
         asyncio.run(serve(config))
     except (OSError, Unusable) as error:
--- a/lemonshunt/lab/__main__.py
+++ b/lemonshunt/lab/__main__.py
@@ -24,11 +24,22 @@
     play.add_argument("--no-report", action="store_true", help="skip the plots")
     again = sub.add_parser("report", help="draw the report of a run again")
     again.add_argument("folder", type=Path)
+    way = sub.add_parser("path", help="one message's way across processes, as JSON lines in time order")
+    way.add_argument("folder", type=Path)
+    way.add_argument("key", help="the message's name (its idempotency key), as in verdict.json")
     return parser.parse_args(argv)
 
 
 def main(argv: list[str] | None = None) -> int:
     args = arguments(sys.argv[1:] if argv is None else argv)
+    if args.command == "path":
+        try:
+            for line in report.path(args.folder, args.key):
+                print(json.dumps(line))
+        except (FileNotFoundError, ValueError) as error:
+            print(f"lab: no run in {args.folder}: {error}", file=sys.stderr)
+            return 2
+        return 0
     if args.command == "report":
         try:
             print(report.draw(args.folder))
--- a/lemonshunt/lab/checker.py
+++ b/lemonshunt/lab/checker.py
@@ -45,6 +45,10 @@
     latency_ms: dict[str, float] = field(default_factory=dict)
 
 
+COUNTS = tuple(name for name in Tally.__dataclass_fields__ if name != "latency_ms")
+"""The tally's counts, in the order in which reports show them."""
+
+
 @dataclass(slots=True)
 class _Message:
     cls: str
@@ -126,20 +130,7 @@
         t.latency_ms = _latency(histograms[cls])
     total = Tally()
     for t in tallies.values():
-        for name in (
-            "messages",
-            "accepted",
-            "refused",
-            "failed",
-            "delivered",
-            "late",
-            "noticed",
-            "lost",
-            "doubled",
-            "resent",
-            "misrouted",
-            "unanswered_delivered",
-        ):
+        for name in COUNTS:
             setattr(total, name, getattr(total, name) + getattr(t, name))
     lag = HdrHistogram(1, 600_000_000, 3)
     for value in lags:
--- a/lemonshunt/lab/report.py
+++ b/lemonshunt/lab/report.py
@@ -3,12 +3,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
+from lemonshunt.lab import checker
+
 BUCKET_NS = 100_000_000
 SERIES = ("taken on", "refused", "no answer", "delivered")
 
@@ -109,18 +112,7 @@
 
 
 def page(result: Mapping[str, Any]) -> str:
-    names = (
-        "messages",
-        "accepted",
-        "refused",
-        "failed",
-        "delivered",
-        "late",
-        "noticed",
-        "lost",
-        "doubled",
-        "resent",
-    )
+    names = checker.COUNTS[: checker.COUNTS.index("resent") + 1]
     lines = [
         f"# {result.get('experiment', '')}, seed {result.get('seed', '')}",
         "",
@@ -144,3 +136,23 @@
         "![timeline](report.png)",
     ]
     return "\n".join(lines) + "\n"
+
+
+def path(folder: Path, key: str) -> list[dict[str, Any]]:
+    """One message's way across processes, in time order: the lab's records of its tries, calls and notices,
+    and every forwarder's JSON log lines of its ids, all in ns from the start of the load."""
+    records, result = load(folder)
+    ids = {r["id"] for r in records if r["kind"] == "try" and r["key"] == key}
+    lines = [
+        {"t_ns": r.get("sent_ns", r.get("at_ns")), "process": "lab", **r}
+        for r in records
+        if r.get("key") == key or r.get("id") in ids
+    ]
+    for log in sorted((folder / "members").glob("*/log-*.txt")):
+        for text in log.read_text(errors="replace").splitlines():
+            if '"message_id"' in text and any(i in text for i in ids):
+                with contextlib.suppress(ValueError):
+                    line = json.loads(text)
+                    if line.get("message_id") in ids:
+                        lines.append({**line, "t_ns": line["t_ns"] - result["t0_ns"]})
+    return sorted(lines, key=lambda line: line["t_ns"])
--- a/lemonshunt/lab/runner.py
+++ b/lemonshunt/lab/runner.py
@@ -128,6 +128,7 @@
             "discovery": f"127.0.0.1:{to_list.listen}",
             "seed": str(self.seed * 100 + n),
             "durability": exp.fleet.durability,
+            "log_format": "json",
             "limits": {"cores": 1, "memory_mb": 256, "sockets": 1024, "disk_mb": 16},
             "known": {"seq": 1, "whole": True, "hosts": hosts},
             "settings": settings(exp),
@@ -258,6 +259,7 @@
             "seed": self.seed,
             "links": [link.figures() for link in self.links.values()],
             "pids": {m.name: m.pids for m in self.members},
+            "t0_ns": self.t0,
         }
         (self.out / "verdict.json").write_text(json.dumps(result, indent=1))
         return result
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -74,6 +74,8 @@
     """The descriptor of the clients' listening socket, where the platform holds it."""
     power: bool = False
     """What is promised outlasts the machine, not only the process."""
+    log_json: bool = False
+    """Log lines as JSON, with a line for each message's arrival, send and end (``log_format = "json"``)."""
     raw: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
     """As it was read, but for the list: what a file that replaces it must have too."""
 
@@ -103,6 +105,12 @@
     return bool(level == "power")
 
 
+def log_format(name: Any) -> bool:
+    if name not in ("plain", "json"):
+        raise Malformed(f"log_format is 'plain' or 'json', not {name!r}")
+    return bool(name == "json")
+
+
 def host(raw: Any) -> Host:
     health = need(raw, "health", str)
     if health not in HEALTH:
@@ -188,6 +196,7 @@
             admin=address(admin) if admin else None,
             inherited=descriptor(environ.get("LB_INHERITED_FD")),
             power=durability(told.get("durability", "process")),
+            log_json=log_format(told.get("log_format", "plain")),
             raw={**told, "known": None},
         )
     except (Malformed, ValueError, TypeError, AttributeError) as error:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -50,6 +50,9 @@
 SETTLE_S = 0.2  # at the end, for what waits to be kept: a disk that does not answer must not keep the process
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
+trace = logging.getLogger("lemonshunt.trace")
+"""A line for each message's arrival, send and end; off unless the configuration asks (net/logjson.py)."""
+trace.setLevel(logging.WARNING)
 
 
 class Clock:
@@ -363,6 +366,8 @@
         door.left = lambda: self.withdrawn(handed.id)
         self.post(i.Arrived(handed.id, handed.destination, handed.class_name, handed.due_us, handed.order_key,
                             handed.tenant, handed.resent))
+        if trace.isEnabledFor(logging.INFO):
+            trace.info("arrived", extra={"message_id": handed.id, "cls": handed.class_name})
 
     def withdrawn(self, name: str) -> None:
         """The client has gone before its answer: it may hand the message in elsewhere, so it is not ours."""
@@ -460,12 +465,12 @@
                     self.counts["returned"] += 1
                     self.figures.end(self.figures.throttled, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "returned", -(-a.wait_us // 1000))
-                    self.ended(a.message)
+                    self.ended(a.message, "returned")
                 case i.Fail() if a.message in self.store.messages:
                     self.counts["given up"] += 1
                     self.figures.end(self.figures.faulted, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "failed", 0)
-                    self.ended(a.message)
+                    self.ended(a.message, "failed")
                 case i.CloseIdle() | i.Cancel():
                     calls.append(a)
                 case i.SetTimer():
@@ -596,6 +601,8 @@
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
         self.store.attempt(m, number, now, name)
+        if trace.isEnabledFor(logging.INFO):
+            trace.info("sent", extra={"message_id": m.id, "attempt": number, "target": name})
         cls = self.store.class_of(m)
         once = cls is not None and cls.effect is i.Effect.ONCE
         at_end = a.timeout_us >= m.due_us - now and not once and m.order_key is None
@@ -619,12 +626,14 @@
             good = event.outcome is i.Outcome.DELIVERED
             self.figures.end(self.figures.fulfilled if good else self.figures.faulted, m.class_name)
             self.store.over(m.id)
-            self.ended(m.id)
+            self.ended(m.id, event.outcome.value)
         else:
             self.store.outcome(m, event.attempt, event.outcome not in i.NEVER_RAN)
 
-    def ended(self, name: str) -> None:
+    def ended(self, name: str, how: str) -> None:
         """Remember for a while what has had its end: ids are new each time, so one seen again is a copy."""
+        if trace.isEnabledFor(logging.INFO):
+            trace.info("ended", extra={"message_id": name, "outcome": how})
         self.recent[name] = None
         if len(self.recent) > MOST_RECENT:
             self.recent.popitem(last=False)
--- /dev/null
+++ b/lemonshunt/net/logjson.py
@@ -0,0 +1,35 @@
+"""The forwarder's log lines as JSON, one an event, where the configuration says ``log_format = "json"``.
+
+Each line has ``event``, ``level``, ``logger``, ``process`` (the forwarder's name), ``role``, ``pid`` and
+``t_ns`` (``time.monotonic_ns``, the one clock of the machine, so that the fleet lab can order lines of
+several processes), and ``message_id`` where the line is of one message. structlog is imported only here.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+import time
+from collections.abc import MutableMapping
+from typing import Any
+
+
+def install(name: str) -> None:
+    """Put JSON lines on standard error in place of the plain ones, and turn on the lines of each message.
+    ImportError where structlog is missing: the caller says so and does not start."""
+    import structlog
+
+    def stamp(_: Any, __: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+        event.update(t_ns=time.monotonic_ns(), process=name, role="forwarder", pid=os.getpid())
+        return event
+
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
+        processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                    structlog.processors.JSONRenderer()],
+        foreign_pre_chain=[structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
+                           structlog.stdlib.ExtraAdder(), stamp]))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    logging.getLogger("lemonshunt.trace").setLevel(logging.INFO)
--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -19,11 +19,11 @@
 """What each forwarder has its own of."""
 MOST_TOLD = 200  # faults, warnings and changes that are named
 MOST_DEEP = 60
-FIXED = ("name", "listen", "state", "admin", "power")
+FIXED = ("name", "listen", "state", "admin", "power", "log_json")
 """What only a start can change, by the field of Config."""
-WRITTEN = {"admin": "admin_addr", "power": "durability"}
+WRITTEN = {"admin": "admin_addr", "power": "durability", "log_json": "log_format"}
 KNOWN = {"": {"name", "listen", "discovery", "seed", "limits", "known", "settings", "admin_addr",
-              "durability"},
+              "durability", "log_format"},
          "limits": {"cores", "memory_mb", "sockets", "disk_mb"},
          "settings.services[]": {"name", "aim_us", "deadline_us", "effect", "key_scope", "window_us",
                                  "by_arrival", "gain", "late_worth"},
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from lemonshunt.lab import __main__ as cli
-from lemonshunt.lab import checker
+from lemonshunt.lab import checker, report
 from lemonshunt.lab.experiment import ExperimentError, parse, read
 from lemonshunt.lab.proxy import Link
 
@@ -179,6 +179,15 @@
     ]
     assert [f["fault"] for f in faults] == ["kill", "silence"]
     assert (tmp_path / "report.png").stat().st_size > 0
+    delivered = next(
+        json.loads(line)
+        for line in (tmp_path / "records.jsonl").read_text().splitlines()
+        if '"call"' in line and '"status":200' in line
+    )
+    way = report.path(tmp_path, delivered["key"])
+    events = [(line["process"], line.get("event", line.get("kind"))) for line in way]
+    assert ("lab", "try") in events and ("lab", "call") in events
+    assert {"arrived", "sent", "ended"} <= {e for p, e in events if p.startswith("f")}, events
 
 
 def test_a_call_that_nobody_handed_in_voids_the_run() -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -524,7 +524,7 @@
         e = engine(tmp_path)
         for n in range(3000):
             e.number(f"gone{n}")
-            e.ended(f"m{n}")
+            e.ended(f"m{n}", "delivered")
         assert len(e.numbers) == len(e.names) <= MOST_GONE + len(e.hosts) + 1
         assert len(e.recent) == MOST_RECENT and "m2999" in e.recent
         e.send(i.Send("m0", 1, 5), 0, {}, [])  # of a target and a message that are forgotten
