Read the lab load's answers with the stand-ins' one HTTP reader

The load parsed an answer's head and length with its own copy of what read_request in the stand-ins already does, and the stand-ins imported reset inside a function for no reason.

status_of now calls read_request (an answer's first two words are its version and status) and says IncompleteReadError at an end as before; a head past its limit becomes ValueError, which the load already counts as no answer.

--- a/lemonshunt/lab/load.py
+++ b/lemonshunt/lab/load.py
@@ -17,6 +17,7 @@
 from lemonshunt.lab.experiment import Experiment
 from lemonshunt.lab.plan import Planned
 from lemonshunt.lab.proxy import reset
+from lemonshunt.lab.standins import read_request
 
 TRIES = 2
 SPIN_S = 0.01
@@ -65,13 +66,11 @@
 
 
 async def status_of(reader: asyncio.StreamReader) -> int:
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    length = next(
-        (int(v) for k, _, v in (x.partition(":") for x in lines[1:]) if k.lower() == "content-length"), 0
-    )
-    await reader.readexactly(length)
-    return int(lines[0].split(" ")[1])
+    """The status of the next answer; IncompleteReadError where the connection ends first."""
+    got = await read_request(reader)
+    if got is None:
+        raise asyncio.IncompleteReadError(b"", None)
+    return int(got[1])
 
 
 @dataclass
--- a/lemonshunt/lab/standins.py
+++ b/lemonshunt/lab/standins.py
@@ -12,13 +12,17 @@
 from dataclasses import dataclass, field
 from typing import Any, Self
 
+from lemonshunt.lab.proxy import reset
+
 HEAD_LIMIT = 16384
 BODY_LIMIT = 65536
 Record = Callable[[dict[str, Any]], None]
 
 
 async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str], bytes] | None:
-    """One HTTP/1.1 request: method, path, headers (lower-case names), body; None at a clean end."""
+    """One HTTP/1.1 message: the first two words of its first line (of a request its method and path, of an
+    answer its version and status), headers (lower-case names), body; None at a clean end, ValueError for a
+    head or body past its limit."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -60,8 +64,6 @@
 
     async def stop(self) -> None:
         """Stop listening and reset every connection, as a process that ends."""
-        from lemonshunt.lab.proxy import reset
-
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
