Drop the list service's unused registry argument from its disk writes

Disk.write took the registry in force but never read it, and the server handed it to a writer thread while the loop could still change it. The argument is gone; behaviour is the same.

--- a/lemonshunt/registry/disk.py
+++ b/lemonshunt/registry/disk.py
@@ -79,9 +79,8 @@
         self._load_notices()
         return registry, had
 
-    def write(self, changes: list[Change], registry: Registry) -> None:
-        """Append changes and sync once; the registry is what is in force before them. Raises OSError,
-        leaving the log as it was."""
+    def write(self, changes: list[Change]) -> None:
+        """Append changes and sync once. Raises OSError, leaving the log as it was."""
         data = b"".join(line(c.line()) for c in changes)
         try:
             write_all(self.files, self.log_fd, data, self.log_at)
--- a/lemonshunt/registry/server.py
+++ b/lemonshunt/registry/server.py
@@ -215,7 +215,7 @@
         if not changes:
             return
         try:
-            await asyncio.to_thread(self.disk.write, changes, self.registry)
+            await asyncio.to_thread(self.disk.write, changes)
         except OSError as error:
             self.figures.write_failures += 1
             log.error("changes not kept", extra={"why": str(error)})
@@ -235,7 +235,7 @@
 
     async def begin_epoch(self, asked: int) -> None:
         change = self.registry.new_epoch(self.now_ms(), asked)
-        await asyncio.to_thread(self.disk.write, [change], self.registry)
+        await asyncio.to_thread(self.disk.write, [change])
         self.registry.commit(change)
         self.figures.epochs += 1
         log.warning("new epoch", extra={"epoch": change.epoch, "base": change.base, "asked": asked})
