--- /dev/null
+++ b/lemonshunt/explore/__main__.py
@@ -0,0 +1,39 @@
+"""`python -m lemonshunt.explore MODULE:MODEL --depth N`: search a model deeper than the tests do."""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import sys
+import time
+
+from lemonshunt.explore.search import explore
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Exit 0 where no invariant was broken, 1 with the steps to it where one was, 2 for a wrong call."""
+    ask = argparse.ArgumentParser(prog="python -m lemonshunt.explore", description=__doc__)
+    ask.add_argument("model", help="such as lemonshunt.lease.model:Leases, made without arguments")
+    ask.add_argument("--depth", type=int, default=12, help="steps from the start")
+    ask.add_argument("--states", type=int, default=1_000_000, help="states at most")
+    args = ask.parse_args(argv)
+    module, _, name = args.model.partition(":")
+    try:
+        model = getattr(importlib.import_module(module), name)()
+    except (ImportError, AttributeError, TypeError, ValueError) as error:
+        print(f"explore: no model {args.model}: {error}", file=sys.stderr)
+        return 2
+    began = time.monotonic()
+    found = explore(model, args.depth, args.states)
+    ended = "complete" if found.complete else f"whole to depth {found.depth}"
+    print(f"{found.states} states, {ended}, {time.monotonic() - began:.1f} s")
+    if not found.why:
+        return 0
+    print(f"broken: {found.why}")
+    for number, step in enumerate(found.trace, 1):
+        print(f"{number:4} {step}")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
