Hear the list of now before a start sends on, and ask a silent agent at once

Lines: Engine.run, round before watch.subscribe. Ruled out: SIGHUP (the move insists for 4 s, no call after it was late), stopping (drained targets leave the pool's map at once), the watch between two calls (no restart, no break).

Found beside it by reading: a watch that fell silent was noticed after 21.2 s and asked anew up to 1 s later, past the 2 s after the wait; after a silent agent the module paused up to 8 s, though what the agent has binds at once.

Mend: a start asks first and waits for the answer, 0.5 s at most; the first call of a watch and one after a failure hold for nothing, so silence shows; where lists are pushed the watch itself asks again at once; holds are 5 s instead of 20. Both tests fail without their code.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -15,12 +15,14 @@
 from lemonshunt.net.store import Owed
 
 NO_VERSION = -1  # of a list that is not known yet; discovery counts from 0
-HOLD_MS = 20_000  # how long a watch waits for something newer
+HOLD_MS = 5_000  # how long a watch waits for something newer; one that falls silent is found out after it
 LATE_S = 1.2  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after
 ANSWER_S = 2.5  # how long another answer may take; discovery gives up after 2 s itself
 LEAST_WATCH_S = 0.1  # the next watch must come within 0.2 s of the last answer
 INSIST_S = 4.0  # after a move, what discovery tells binds so soon that failures are not waited out
 INSIST_PAUSE_S = 0.2
+PUSHED_ANSWER_S = 0.2  # where lists are pushed, an agent on this machine answers at once or is silent, ...
+PUSHED_PAUSE_S = 0.03  # ... and from the moment that it has news they bind: it is asked all the time
 NOTICE_LEAST_S = 0.02  # between two posts that fail, so that no failure makes us spin
 NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.8  # before the next post at most; doubles by each one that fails
 MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
@@ -107,12 +109,16 @@
 
 
 class Watch:
-    """Follows the list from a version on. Tells its first failure and ends; the module asks again."""
+    """Follows the list from a version on. Where lists must be asked for, it tells a failure and ends, and the
+    module asks again. Where they are `pushed`, what the agent has counts as told whether or not it is asked,
+    so a failure is not told and it asks again at once."""
 
     def __init__(self, where: Address, seq: int, listed: Callable[[HostList | None], None],
-                 seed: int) -> None:
+                 seed: int, pushed: bool = False) -> None:
         self.client, self.seq, self.listed, self.random = Client(where), seq, listed, random.Random(seed)
         self.wanted, self.insist_until = False, 0.0
+        self.pushed, self.sure, self.failures = pushed, False, 0
+        self.answered = asyncio.Event()  # the agent has told what it has, at least once
         self.task: asyncio.Task[None] | None = None
 
     def subscribe(self) -> None:
@@ -139,10 +145,9 @@
         self.client.close()
 
     async def follow(self) -> None:
+        self.sure = False
         while True:
-            path, wait = "/discovery/hosts", ANSWER_S
-            if self.seq > NO_VERSION:
-                path, wait = f"{path}?from={self.seq}&hold_ms={HOLD_MS}", LATE_S + HOLD_MS / 1000
+            path, wait = self.call()
             asked = time.monotonic()
             try:
                 answer = await self.client.ask("GET", path, wait)
@@ -150,19 +155,39 @@
                     raise BadAnswer(f"status {answer.status}")
                 told = host_list(json.loads(answer.body))
             except Exception as error:  # whatever comes back must not end the asking for good
-                log.warning("the list cannot be had: %s", error or type(error).__name__)
-                if time.monotonic() < self.insist_until:
-                    await asyncio.sleep(self.random.uniform(0.5, 1.5) * INSIST_PAUSE_S)
+                if await self.failed(error):
                     continue
                 self.task = None
                 self.listed(None)
                 return
             news = told.seq != self.seq or (told.hosts and not told.whole)
+            held, self.sure, self.failures = self.sure, True, 0
             self.seq = told.seq
             self.listed(told)
-            if not news and time.monotonic() - asked < LEAST_WATCH_S:
+            self.answered.set()
+            if held and not news and time.monotonic() - asked < LEAST_WATCH_S:
                 await asyncio.sleep(LEAST_WATCH_S)  # a discovery that answers at once must not spin us
 
+    def call(self) -> tuple[str, float]:
+        """What to ask, and how long its answer may take. The first call, and one after a failure, does not
+        wait for news: no answer to it means silence, where a held watch looks the same with nothing new."""
+        at_once = PUSHED_ANSWER_S if self.pushed else ANSWER_S
+        if self.seq <= NO_VERSION:
+            return "/discovery/hosts", at_once
+        hold = HOLD_MS if self.sure else 0
+        return f"/discovery/hosts?from={self.seq}&hold_ms={hold}", LATE_S + hold / 1000 if hold else at_once
+
+    async def failed(self, error: Exception) -> bool:
+        """Whether to ask again from here, and not before a while."""
+        if not self.failures or not self.pushed:
+            log.warning("the list cannot be had: %s", error or type(error).__name__)
+        self.sure, self.failures = False, self.failures + 1
+        insists = time.monotonic() < self.insist_until
+        if insists or self.pushed:
+            pause = PUSHED_PAUSE_S if self.pushed else INSIST_PAUSE_S
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * pause)
+        return insists or self.pushed
+
 
 class Platform(Protocol):
     """Where owed ends are kept until they are acknowledged."""
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -46,6 +46,7 @@
 OVERDUE_US = 120_000  # past its time by so much, a message without an end is ended by the engine itself
 RECALL = 100  # messages of before that the module is told of in one round, ...
 RECALL_S = 0.01  # ... and between two such rounds
+FIRST_S = 0.5  # what the agent has binds from the first moment: so long a start waits to hear it
 UNKEPT_S = 0.25  # before a call that could not leave for want of its record is decided on again
 SETTLE_S = 0.2  # at the end, for what waits to be kept: a disk that does not answer must not keep the process
 SECOND = 1_000_000
@@ -120,7 +121,8 @@
         seq = self.recover()
         # Another address than the list came from may count its versions anew: the whole list is asked for.
         same = self.store.source in ("", str(config.discovery))
-        self.watch = Watch(config.discovery, seq if same else NO_VERSION, self.listed, config.seed)
+        self.watch = Watch(config.discovery, seq if same else NO_VERSION, self.listed, config.seed,
+                           pushed=not config.settings.subscribe)
 
     # Starting
 
@@ -207,9 +209,10 @@
         if self.successor is not None and not await self.take_over():
             self.closed = True
             return True
+        self.watch.subscribe()  # over sockets the list comes to nobody who does not ask, 'pushed' or not
+        await self.first_list()
         self.round()
         await self.settled()
-        self.watch.subscribe()  # over sockets the list comes to nobody who does not ask, 'pushed' or not
         self.notices.kick()
         await self.server.listen(where.host, where.port, self.config.inherited)
         if self.successor is not None:
@@ -234,6 +237,14 @@
             self.store.close()
         return False
 
+    async def first_list(self) -> None:
+        """Before anything of before is sent on: the list may have changed while no process was here."""
+        try:
+            async with asyncio.timeout(FIRST_S):
+                await self.watch.answered.wait()
+        except TimeoutError:
+            log.info("no list yet; going on with version %d", self.watch.seq)
+
     async def settled(self, patience_s: float | None = None) -> None:
         """All that was decided is kept, and has left."""
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -751,6 +762,7 @@
         s = replace(new.settings, ends_told=True)
         self.derive(s)
         self.server.settings = s
+        self.watch.pushed = not s.subscribe
         self.pool.settle(new.report_fields, s.conn_idle_us, s.dial_timeout_us)
         self.figures.cover(c.name for c in s.classes)
         self.store.settle(Rules(s.max_attempts, s.classes))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -151,8 +151,12 @@
         since = int(request.path.partition("from=")[2].partition("&")[0] or -1)
         if since < min(1, self.seq):
             return Answer(200, body=json.dumps(self.listing()).encode())
-        async with self.changed:
-            await self.changed.wait_for(lambda: self.seq > since)
+        hold_ms = int(request.path.partition("hold_ms=")[2] or 0)
+        try:
+            async with asyncio.timeout(hold_ms / 1000), self.changed:
+                await self.changed.wait_for(lambda: self.seq > since)
+        except TimeoutError:
+            pass
         hosts = [h for seq in range(since + 1, self.seq + 1) for h in self.news.get(seq, [])]
         return Answer(200, body=json.dumps({"seq": self.seq, "whole": False, "hosts": hosts}).encode())
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,7 +19,7 @@
 from lemonshunt.journal.format import OLD_FRAME
 from lemonshunt.net.client import Call, Connection, Item, Pool, wait_us
 from lemonshunt.net.config import Address, Config, HostList, host
-from lemonshunt.net.discovery import NOTICE_TOP_S, Notices
+from lemonshunt.net.discovery import HOLD_MS, NOTICE_TOP_S, Notices, Watch
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
 from lemonshunt.net.handover import Predecessor
 from lemonshunt.net.http import BadAnswer, ResponseReader
@@ -630,6 +630,35 @@
     assert all(0 < n.pause_s(10**6) <= NOTICE_TOP_S for n in fleet)
 
 
+def test_pushed_lists_are_asked_for_through_silence_and_refusals_without_the_module() -> None:
+    """What the agent has binds as soon as it speaks again; the pauses of the module were seconds by then."""
+    async def main() -> None:
+        asked: list[str] = []
+        told: list[HostList | None] = []
+
+        def listing(seq: int, health: str) -> Answer:
+            return Answer(200, body=json.dumps({"seq": seq, "whole": True, "hosts": [
+                {"host": "s1", "dial": "127.0.0.1:9", "site": "x", "class": "plain", "block": 7,
+                 "health": health, "share": 1.0, "born_ms": 0}]}).encode())
+        answers = [listing(1, "up"), None, Answer(503), Answer(503), None, listing(2, "draining")]
+
+        async def agent(request: Any) -> Answer | None:
+            asked.append(request.path.partition("?")[2])
+            if len(asked) > len(answers):
+                await hang(request)
+            return answers[len(asked) - 1] if answers[len(asked) - 1] else await hang(request)
+        peer = await Peer(agent).start()
+        watch = Watch(Address("127.0.0.1", peer.port), 0, told.append, 1, pushed=True)
+        watch.client.ask, ask = (lambda m, p, wait: ask(m, p, min(wait, 0.2))), watch.client.ask  # type: ignore
+        watch.subscribe()
+        await peer.got(7)
+        watch.pause()
+        held = f"from=1&hold_ms={HOLD_MS}"
+        assert asked == ["from=0&hold_ms=0", held, *["from=1&hold_ms=0"] * 4, f"from=2&hold_ms={HOLD_MS}"]
+        assert [t and t.hosts[0].health for t in told] == ["up", "draining"]  # no failure reached the module
+    asyncio.run(main())
+
+
 def test_a_refused_handover_socket_does_not_keep_it_from_serving(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from lemonshunt.net.discovery import HOLD_MS
 from tests.sockets import (
     OK,
     PATIENCE,
@@ -317,8 +318,10 @@
         platform.host("s2", 9, health="draining")
         await platform.change("s2", "draining")
         await platform.until(lambda: any("from=1&" in r.path for r in platform.requests))
-        paths = [r.path for r in platform.requests if r.path.startswith("/discovery")]
-        assert [p.partition("&")[0] for p in paths] == ["/discovery/hosts?from=0", "/discovery/hosts?from=1"]
+        paths = [r.path.partition("?")[2] for r in platform.requests if r.path.startswith("/discovery")]
+        assert list(dict.fromkeys(paths)) == [
+            "from=0&hold_ms=0", f"from=0&hold_ms={HOLD_MS}", f"from=1&hold_ms={HOLD_MS}"]
+        assert len(paths) < 10  # one more for each hold that ends
     play(scene, tmp_path)
 
 
@@ -687,3 +690,28 @@
         assert (await node.hand_in("o"))[0] == 202
         assert [r.headers["x-correlation-id"] for r in await peer.got(3)] == ["m", "n", "o"]
     play(scene, tmp_path)
+
+
+def test_nothing_of_before_is_sent_on_until_the_list_of_now_is_known(tmp_path: Path) -> None:
+    """A start used to play its first round on the list of before: what had been drained while no process was
+    here got the messages that the journal held."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        answers: list[Answer | None] = [Answer(503)]
+
+        async def until_told(request: Any) -> Answer | None:
+            return answers[-1]
+        old = await target(platform, until_told)
+        node = await node_on(folder, platform, known=platform.listing())
+        assert (await node.hand_in("m", "status"))[0] == 202
+        await old.got(1)
+        await node.end()
+        answers.append(OK)
+        new = await target(platform, always(OK), "s2")
+        platform.seq += 1
+        platform.news[platform.seq] = [dict(platform.hosts["s2"])]
+        await platform.change("s1", "draining")
+        before = len(old.requests)
+        await node.start()
+        await new.got(1)
+        assert len(old.requests) == before
+    play(scene, tmp_path)
