--- /dev/null
+++ b/lemonshunt/choice/giving.py
@@ -0,0 +1,160 @@
+"""Messages taken on, given up and over, and whose turn it is in their keys. All final answers are here."""
+
+from __future__ import annotations
+
+import math
+
+from lemonshunt import interface as i
+from lemonshunt.choice.books import FORGET_US, SECOND, Books
+from lemonshunt.choice.limits import over_share
+from lemonshunt.state import Line, Message
+
+STALL_CALLS = 8  # usual calls after which one is held to be lost where some later ones have been delivered
+STALL_US = 600_000  # and this at least
+PASSED = 3  # so many later ones: a single one may just have been quick
+LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
+BUFFER_MARK = 0.85  # share of the buffer above which the largest pile is cut
+LATE_LEAST = 0.6  # where fresh ones near their aims, one in their pile with less worth left is given up
+
+
+def arrived(b: Books, event: i.Arrived) -> None:
+    """Take a message. One of an unknown class is failed: its effect is not known."""
+    cls = b.classes.get(event.class_name)
+    if cls is None:
+        b.actions.append(i.Fail(event.message))
+        return
+    take(b, event, cls)
+
+
+def recalled(b: Books, event: i.Recalled) -> None:
+    """Go on with a message of before a restart: what it may do depends on what it did till then."""
+    cls = event.cls or b.classes.get(event.class_name)
+    if cls is None:
+        b.actions.append(i.Fail(event.message))
+        return
+    m = take(b, event, cls)
+    m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
+    m.most = event.most_attempts or m.most
+    if m.key is not None and event.cut_off:
+        b.lines[m.key].rest_until = b.now + b.s.key_rest_us
+
+
+def take(b: Books, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
+    b.taken += 1
+    key = event.key if cls.in_order else None
+    m = Message(event.message, event.destination, cls, event.due_us, b.now, b.taken, key,
+                over_share(b, event.tenant), b.s.max_attempts)
+    b.messages[m.id] = m
+    b.held.add(m)
+    b.looks.add(m.destination)
+    if key is not None:
+        b.lines.setdefault(key, Line()).queue.append(m)
+    return m
+
+
+def over(b: Books, m: Message) -> None:
+    """A message has ended: nothing more goes out for it, and its key turns to the next."""
+    del b.messages[m.id]
+    b.held.remove(m)
+    if m.key is not None:
+        b.lines[m.key].queue.remove(m)
+        next_in(b, b.lines[m.key])
+
+
+def next_in(b: Books, line: Line) -> None:
+    """The key's turn may have come to its next message, perhaps for another destination."""
+    if line.queue and not line.out and not line.owed:
+        b.looks.add(line.queue[0].destination)
+        b.agenda.add(max(b.now, line.rest_until), line.queue[0].destination)
+
+
+def owe(b: Books, name: str, key: str) -> None:
+    """Rule 6: until its final answer has arrived, a message is not over for those behind it."""
+    b.owed[name] = key
+    b.lines.setdefault(key, Line()).owed.add(name)
+
+
+def told(b: Books, name: str) -> None:
+    """The final answer has arrived."""
+    if name in b.owed:
+        line = b.lines[b.owed.pop(name)]
+        line.owed.discard(name)
+        next_in(b, line)
+
+
+def answer(b: Books, m: Message) -> None:
+    """The only place that gives final answers. Refuse where a new try does no harm, else fail."""
+    safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
+        m.cls.effect is i.Effect.KEYED and m.cls.scope is i.Scope.ALL)
+    b.actions.append(i.Refuse(m.id, retry_after(b, m)) if safe else i.Fail(m.id))
+    if m.key is not None and b.s.ends_told:
+        owe(b, m.id, m.key)
+    over(b, m)
+
+
+def retry_after(b: Books, m: Message) -> int:
+    """How long the client should stay away: until the destination's wait or rest is over."""
+    ends = [max(t.place.wait_until, t.place.rest_until) for t in b.usable(m)]
+    wait = max(LEAST_AWAY_US, min(ends, default=b.now + SECOND) - b.now)
+    return min(wait, b.s.max_retry_after_us) if b.s.retry_after else 0
+
+
+def recall(b: Books) -> None:
+    """A call that stays silent while later ones to the same target are answered has lost its connection,
+    and not its target: its messages need not wait for the time-out, and it says nothing of health. Those
+    that may not be sent again fail by this, so their aim must have passed as well."""
+    if not b.s.may_cancel:
+        return
+    for (name, number), attempt in b.attempts.items():
+        m, call = attempt.message, attempt.call
+        if call.passed >= PASSED and not attempt.recalled:
+            usual = STALL_CALLS * b.expected(call.target.place, m.cls)
+            least = m.cls.aim_us if m.cls.effect is i.Effect.ONCE else STALL_US
+            if b.now - call.sent_at > max(least, usual):
+                b.actions.append(i.Cancel(name, number))
+                attempt.recalled = True
+
+
+def drop(b: Books) -> None:
+    """The unsent drop: a held message whose time left is below its expected call is answered now. In a
+    pile that moves too slowly for its fresh ones it gives way to them before: else all end late."""
+    if b.now - b.cleared_at >= SECOND:
+        b.cleared_at = b.now
+        b.lines = {k: n for k, n in b.lines.items()
+                   if n.queue or n.out or n.owed or n.rest_until > b.now}
+    for destination in sorted(b.looks):
+        pile = list(b.held.piles.get(destination, {}).values())
+        jam = any(m.cls.aim_us / 2 < age(m, b.now) <= m.cls.aim_us for m in pile)
+        for m in pile:
+            if b.now >= b.drop_at(m) or not b.may_repeat(m) or (
+                    jam and b.now > fades_at(m, b.s.late_halves)):
+                answer(b, m)
+    if len(b.messages) > BUFFER_MARK * b.s.max_open and b.held.piles:
+        shed(b)
+
+
+def age(m: Message, now: int) -> int:
+    """How much of its time has passed, also where it came to another forwarder first."""
+    return m.cls.deadline_us - (m.due - now)
+
+
+def fades_at(m: Message, late_halves: bool) -> float:
+    """When less than `LATE_LEAST` of its worth is left."""
+    aim, most = m.cls.aim_us, m.cls.deadline_us - m.cls.aim_us
+    if late_halves:
+        after = aim * (1 - math.log2(LATE_LEAST))
+    else:
+        after = aim + most * (1 - LATE_LEAST) / max(1e-9, 1 - m.cls.late_worth)
+    return m.due - m.cls.deadline_us + after
+
+
+def shed(b: Books) -> None:
+    """One jammed destination must not fill the buffer: the largest pile gives up its last in order."""
+    worst = max(b.held.piles, key=lambda d: (len(b.held.piles[d]), d))
+    pile = list(b.held.piles[worst].values())
+    pile.sort(key=lambda m: (m.ran_at < 0, m.over_share, m.due, m.number))
+    if b.now - b.shed_at >= FORGET_US:
+        b.shed_at = b.now
+        b.actions.append(i.Note(f"buffer nearly full: destination {worst} gives up its last"))
+    for m in pile[1:][-max(1, int(len(b.messages) - BUFFER_MARK * b.s.max_open)):]:
+        answer(b, m)
