Keep what was taken on: a full buffer turns away what comes, late ones give way later

Ruled out: the unsent drop (the last fifth of its time), the door.

Change: shed turns away only what came in that round to the largest pile; in fleets of over 8, where the price holds, what has not run gives way to fresher ones only after 0.7 of its time.

--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -5,7 +5,7 @@
 import math
 
 from lemonshunt import interface as i
-from lemonshunt.choice.books import FORGET_US, SECOND, Books
+from lemonshunt.choice.books import FEW, FORGET_US, SECOND, Books
 from lemonshunt.choice.limits import over_share
 from lemonshunt.state import Line, Message
 
@@ -14,6 +14,7 @@
 PASSED = 3  # so many later ones: a single one may just have been quick
 LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
 BUFFER_MARK = 0.85  # share of the buffer above which the largest pile is cut
+KEEP_LEAST = 0.7  # share of its time; in a large fleet what was taken on and handed back sooner is priced
 LATE_LEAST = 0.6  # where fresh ones near their aims, one in their pile with less worth left is given up
 
 
@@ -35,6 +36,7 @@
     m = take(b, event, cls)
     m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
     m.most = event.most_attempts or m.most
+    m.before = True
     if m.key is not None and event.cut_off:
         b.lines[m.key].rest_until = b.now + b.s.key_rest_us
 
@@ -44,6 +46,8 @@
     key = event.key if cls.in_order else None
     m = Message(event.message, event.destination, cls, event.due_us, b.now, b.taken, key,
                 over_share(b, event.tenant), b.s.max_attempts)
+    if b.s.balancers > FEW:
+        m.keep_until = m.due - int((1 - KEEP_LEAST) * cls.deadline_us)
     b.messages[m.id] = m
     b.held.add(m)
     b.looks.add(m.destination)
@@ -139,22 +143,24 @@
 
 
 def fades_at(m: Message, late_halves: bool) -> float:
-    """When less than `LATE_LEAST` of its worth is left."""
+    """When less than `LATE_LEAST` of its worth is left, and it may be given up for that."""
     aim, most = m.cls.aim_us, m.cls.deadline_us - m.cls.aim_us
     if late_halves:
         after = aim * (1 - math.log2(LATE_LEAST))
     else:
         after = aim + most * (1 - LATE_LEAST) / max(1e-9, 1 - m.cls.late_worth)
-    return m.due - m.cls.deadline_us + after
+    return max(m.due - m.cls.deadline_us + after, m.keep_until if m.ran_at < 0 else 0)
 
 
 def shed(b: Books) -> None:
-    """One jammed destination must not fill the buffer: the largest pile gives up its last in order."""
+    """One jammed destination must not fill the buffer: of the largest pile, what came in this round is turned
+    away at the door. What was taken on stays: its client would hear of its end only by a notice."""
     worst = max(b.held.piles, key=lambda d: (len(b.held.piles[d]), d))
-    pile = list(b.held.piles[worst].values())
-    pile.sort(key=lambda m: (m.ran_at < 0, m.over_share, m.due, m.number))
-    if b.now - b.shed_at >= FORGET_US:
+    pile = [m for m in b.held.piles[worst].values() if m.arrived == b.now and not m.before]
+    pile.sort(key=lambda m: (m.over_share, m.due, m.number))
+    if pile and b.now - b.shed_at >= FORGET_US:
         b.shed_at = b.now
-        b.actions.append(i.Note(f"buffer nearly full: destination {worst} gives up its last"))
-    for m in pile[1:][-max(1, int(len(b.messages) - BUFFER_MARK * b.s.max_open)):]:
-        answer(b, m)
+        b.actions.append(i.Note(f"buffer nearly full: destination {worst} takes on no more"))
+    if len(b.held.piles[worst]) > 1:
+        for m in pile[-max(1, int(len(b.messages) - BUFFER_MARK * b.s.max_open)):]:
+            answer(b, m)
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -50,6 +50,10 @@
     """How long the attempt that timed out last was waited for."""
     avoid: int = -1
     """The target that last failed it."""
+    keep_until: int = 0
+    """While it has surely not run, it does not give way to fresher ones before."""
+    before: bool = False
+    """A process before took it on."""
 
 
 @dataclass(slots=True)
