--- /dev/null
+++ b/lemonshunt/session/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions handed, alive, to a forwarder of a neighbouring site: see docs/parts/session.md."""
