--- a/lemonshunt/lab/plan.py
+++ b/lemonshunt/lab/plan.py
@@ -2,6 +2,7 @@
 
 Send times are a Poisson process at the experiment's rate, drawn from ``--seed``; each message has its class,
 destination and first forwarder drawn too. The same seed gives the same messages at the same times.
+A session's messages go to one destination, each handed in once the one before has its answer (``load.py``).
 """
 
 from __future__ import annotations
@@ -24,29 +25,45 @@
     destination: int
     forwarder: int
     """Index of the forwarder that the front hands it to first."""
+    session: str = ""
+    """The key of its order, of a class that keeps it; ``number`` counts that session's messages from 0."""
+    number: int = 0
 
 
 def messages(experiment: Experiment, seed: int) -> list[Planned]:
     """Every message of the run in order of its send time; ValueError past MAX_MESSAGES."""
     chance = random.Random(seed)
-    classes = experiment.load.classes
+    load, classes = experiment.load, experiment.load.classes
+    fronts = load.forwarders or experiment.fleet.forwarders
+    numbers: dict[int, int] = {}
     weights = [c.share for c in classes]
     end_ns = int(experiment.duration_s * 1e9)
     planned: list[Planned] = []
     at = 0.0
     while True:
-        at += chance.expovariate(experiment.load.rate_per_s)
+        at += chance.expovariate(load.rate_per_s)
         if at * 1e9 >= end_ns:
             return planned
         if len(planned) >= MAX_MESSAGES:
             raise ValueError(f"more than {MAX_MESSAGES} messages: lower the rate or the duration")
         cls = chance.choices(classes, weights)[0]
+        destination = chance.choice(experiment.fleet.destinations)
+        forwarder = chance.randrange(fronts)
+        session, number = "", 0
+        if cls.ordered:
+            n = chance.randrange(load.sessions)
+            session, number = f"s{seed:x}-{n}", numbers.get(n, 0)
+            numbers[n] = number + 1
+            destination = experiment.fleet.destinations[n % len(experiment.fleet.destinations)]
+            forwarder = n % fronts if load.sessions_at == "home" else forwarder
         planned.append(
             Planned(
                 due_ns=int(at * 1e9),
                 key=f"{seed:x}-{len(planned):07d}",
                 cls=cls.name,
-                destination=chance.choice(experiment.fleet.destinations),
-                forwarder=chance.randrange(experiment.fleet.forwarders),
+                destination=destination,
+                forwarder=forwarder,
+                session=session,
+                number=number,
             )
         )
--- a/lemonshunt/lab/proxy.py
+++ b/lemonshunt/lab/proxy.py
@@ -11,14 +11,19 @@
 
 import asyncio
 import contextlib
+import os
 import random
+import resource
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Self
 
 CHUNK = 65536
 DIAL_S = 2.0
+SPARE = 256
+"""Descriptors left to logs, pipes and listening sockets that come later."""
 STATES = ("pass", "delay", "drop", "reset", "silence", "oneway")
 
 
@@ -31,6 +36,47 @@
     writer.transport.abort()
 
 
+@dataclass(slots=True)
+class Gate:
+    """The bound on connections open through all links together. A connection that is taken up costs this
+    process four descriptors at most (both ends of the link and, for a stand-in, of its server); with no
+    bound the accept loop meets the descriptors' end and logs that again and again."""
+
+    most: int
+    refusing: Callable[[], None] = lambda: None
+    """Called once, as the first is refused."""
+    open: int = 0
+    most_open: int = 0
+    refused: int = 0
+
+    def enter(self) -> bool:
+        if self.open >= self.most:
+            if not self.refused:
+                self.refusing()
+            self.refused += 1
+            return False
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        return True
+
+    def leave(self) -> None:
+        self.open -= 1
+
+    def figures(self) -> dict[str, int]:
+        return {"most": self.most, "most_open": self.most_open, "refused": self.refused}
+
+
+def room() -> int:
+    """Proxied connections that this process's descriptors allow, its limit raised as far as it goes."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        with contextlib.suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+            soft = hard
+    free = (1 << 20 if soft == resource.RLIM_INFINITY else soft) - len(os.listdir("/proc/self/fd"))
+    return max(16, min(100_000, (free - SPARE) // 4))
+
+
 @dataclass(eq=False, slots=True)
 class _Pair:
     client: asyncio.StreamWriter
@@ -58,6 +104,7 @@
     bytes_down: int = 0
     connections: int = 0
     pairs: set[_Pair] = field(default_factory=set)
+    gate: Gate | None = None
 
     def __post_init__(self) -> None:
         self.chance = random.Random(self.seed)
@@ -94,6 +141,9 @@
         if self.state == "drop":
             reset(writer)
             return
+        if self.gate is not None and not self.gate.enter():
+            reset(writer)
+            return
         pair = _Pair(writer)
         self.pairs.add(pair)
         try:
@@ -102,6 +152,8 @@
             pair.cut()  # the lab ends or a side broke: both sides see a reset
         finally:
             self.pairs.discard(pair)
+            if self.gate is not None:
+                self.gate.leave()
 
     async def _carry(self, pair: _Pair, reader: asyncio.StreamReader) -> None:
         while self.state == "silence":  # cut off: nothing comes up and nothing answers
--- /dev/null
+++ b/lemonshunt/lab/service.py
@@ -0,0 +1,85 @@
+"""The list service as a process of the lab: ``python -m lemonshunt.registry``, its endpoints registered
+through its write address, as the servers' operators do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from dataclasses import dataclass, field
+from typing import Any
+
+from lemonshunt.lab.fleet import ROOT, Process, StartError
+from lemonshunt.lab.standins import read_request
+
+CALL_S = 5.0
+
+
+async def takes() -> frozenset[str]:
+    """The options that the program has now, read from its help."""
+    asked = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "lemonshunt.registry",
+        "--help",
+        cwd=ROOT,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    told, _ = await asked.communicate()
+    return frozenset(word.strip("[],=") for word in told.decode().split() if word.startswith(("--", "[--")))
+
+
+@dataclass
+class ServiceProcess(Process):
+    """The process ``list``. It keeps its ports over its restarts; ``hosts`` are registered at each start,
+    which changes nothing where its folder still lists them."""
+
+    listen: int = 0
+    write: int = 0
+    fleet: int = 0
+    options: frozenset[str] = frozenset()
+    more: tuple[str, ...] = ()
+    hosts: list[dict[str, Any]] = field(default_factory=list)
+
+    role = "registry"
+
+    def command(self) -> tuple[list[str], dict[str, str]]:
+        words = ["-m", "lemonshunt.registry", "--state", str(self.state)]
+        words += ["--listen", f"127.0.0.1:{self.listen}", "--write", f"127.0.0.1:{self.write}"]
+        if "--fleet" in self.options:
+            words += ["--fleet", f"127.0.0.1:{self.fleet}"]
+        empty = not self.state.is_dir() or not any(self.state.iterdir())
+        if "--new" in self.options and empty:
+            words += ["--new"]
+        return [*words, *self.more], {}
+
+    def ready_port(self) -> int:
+        return self.write
+
+    async def start(self) -> None:
+        await super().start()
+        ops = [{"op": "register", **{k: v for k, v in h.items() if k != "health"}} for h in self.hosts]
+        try:
+            status, text = await post(self.write, "/v1/hosts", {"ops": ops})
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+            raise StartError(f"{self.name} did not take the endpoints: {type(error).__name__}") from None
+        if status != 200:
+            raise StartError(f"{self.name} refused the endpoints: {status} {text[:300]!r}")
+
+
+async def post(port: int, path: str, body: dict[str, Any]) -> tuple[int, bytes]:
+    """One call at a loopback port: its status and body."""
+    data = json.dumps(body).encode()
+    head = f"POST {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: {len(data)}\r\nConnection: close\r\n\r\n"
+    async with asyncio.timeout(CALL_S):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            writer.write(head.encode() + data)
+            got = await read_request(reader)
+            if got is None:
+                raise ValueError("no answer")
+            return int(got[1]), got[3]
+        finally:
+            writer.close()
--- a/lemonshunt/lab/standins.py
+++ b/lemonshunt/lab/standins.py
@@ -8,6 +8,7 @@
 import json
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Self
@@ -99,6 +100,24 @@
     cold_ms: float = 0.0
 
 
+@dataclass
+class Meter:
+    """A destination's limit, shared by its endpoints: ``calls`` in any sliding ``span_ns``."""
+
+    calls: int
+    span_ns: int
+    taken: deque[int] = field(default_factory=deque)
+
+    def wait_ns(self, now_ns: int) -> int:
+        """0 where a call is within the limit (and counts for it), else the time until one will be."""
+        while self.taken and now_ns - self.taken[0] >= self.span_ns:
+            self.taken.popleft()
+        if len(self.taken) < self.calls:
+            self.taken.append(now_ns)
+            return 0
+        return self.taken[0] + self.span_ns - now_ns
+
+
 @dataclass
 class Endpoint(Server):
     name: str = ""
@@ -107,6 +126,7 @@
     clock: Callable[[], int] = time.monotonic_ns
     record: Record = lambda _: None
     behaviour: Behaviour = field(default_factory=Behaviour)
+    meter: Meter | None = None
 
     def __post_init__(self) -> None:
         Server.__init__(self)
@@ -118,7 +138,8 @@
             return answer(200)
         if method != "POST" or path != "/hook":
             return answer(404)
-        status = await self._run()
+        wait_ns = 0 if self.meter is None else self.meter.wait_ns(self.clock())
+        status = 429 if wait_ns else await self._run()
         self.record(
             {
                 "kind": "call",
@@ -130,6 +151,8 @@
                 "at_ns": self.clock(),
             }
         )
+        if wait_ns:
+            return answer(status, X_RateLimit_Wait_Ms=str(-(-wait_ns // 1_000_000)))
         return answer(status)
 
     async def _run(self) -> int:
