Part the engine's stopping from its hand-over, a file each

Change: Stopping (net/stopping.py) has SIGTERM, its steps and their times; Leaving keeps the hand-over.

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -15,6 +15,7 @@
 from lemonshunt.net.handover import Line
 from lemonshunt.net.leaving import Leaving
 from lemonshunt.net.operators import Operating
+from lemonshunt.net.stopping import Stopping
 from lemonshunt.net.store import Rules
 from lemonshunt.net.taking import Taking
 from lemonshunt.state import Target
@@ -28,7 +29,7 @@
 SETTLE_S = 0.2  # at the end, for what waits to be kept: a disk that does not answer must not keep the process
 
 
-class Starting(Taking, Operating, Leaving):
+class Starting(Taking, Operating, Leaving, Stopping):
 
     def recover(self) -> int:
         """Tell the module what the journal holds. Returns the version of the list that is newest."""
--- /dev/null
+++ b/lemonshunt/net/stopping.py
@@ -0,0 +1,47 @@
+"""The engine's part in stopping: SIGTERM, what is still answered and sent, and when the process ends."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from lemonshunt.net.desk import Desk, log
+
+LISTEN_S = 1.0  # after SIGTERM new connections come for a while
+FREEZE_S = 2.8  # then nothing new is sent, and what is out is waited for
+EXIT_S = 3.3  # and this long after SIGTERM the process ends: SIGKILL may come at 3.7 s
+
+
+class Stopping(Desk):
+
+    def stop(self) -> None:
+        """SIGTERM: go on as before while clients still come, then only wait for what is out."""
+        if self.leaving_s:
+            return
+        self.predecessor.abort()
+        self.leaving_s = time.monotonic()
+        log.info("stopping: %d messages held, %d calls out", len(self.store.messages), self.pool.out)
+        self.server.leaving = True
+        asyncio.get_running_loop().call_later(LISTEN_S, self.stop_step)
+
+    def stop_step(self) -> None:
+        passed = time.monotonic() - self.leaving_s
+        self.server.leave()
+        if self.predecessor.given:
+            if passed >= EXIT_S or not (self.pool.out or self.server.doors):
+                log.info("stopped: all else is the new process's")
+                self.done.set()
+            else:
+                asyncio.get_running_loop().call_later(0.05, self.stop_step)
+            return
+        if passed >= FREEZE_S and not self.frozen:
+            if self.arriving or self.events:
+                self.round()
+            self.frozen = True
+        nothing = not self.store.messages and not self.store.owed and not self.arriving
+        if nothing or passed >= EXIT_S or (self.frozen and not self.pool.out and not self.store.owed):
+            log.info("stopped: %d messages and %d owed ends stay in the journal",
+                     len(self.store.messages), len(self.store.owed))
+            self.done.set()
+            return
+        asyncio.get_running_loop().call_later(0.05, self.stop_step)
