Call a client's connection ClientConnection, in a file of its own apart from the listener

Change: net/client_connection.py has ClientConnection, its requests, and Connections (leave, move, close); net/server.py listens, bounds, checks messages.

--- /dev/null
+++ b/lemonshunt/net/client_connection.py
@@ -0,0 +1,256 @@
+"""One client's connection: reads requests, hands them on in turn, writes answers; and the end of all."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import httptools
+
+from lemonshunt.net.http import MOST_BODY, MOST_HEAD
+
+MOST_WAITING = 8  # requests read ahead on one connection before reading stops
+LINGER_BYTES = 1 << 20  # read at most of what comes behind a refusal
+
+
+class BadRequest(Exception):
+    def __init__(self, status: HTTPStatus, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+@dataclass(slots=True)
+class Request:
+    came_us: int
+    method: str = ""
+    path: str = ""
+    keep_alive: bool = True
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    bad: BadRequest | None = None
+    size: int = 0
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection. Requests are answered one at a time, in the order they came."""
+
+    def __init__(self, server: Connections) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpRequestParser | None = None  # made when something is said
+        self.reading: Request | None = None
+        self.raw, self.in_head, self.requests = 0, True, 0
+        self.until_us = 0  # when it is closed after a refusal
+        self.waiting: deque[Request] = deque()
+        self.busy: Request | None = None
+        self.left: Callable[[], None] | None = None
+        self.used_us = self.came_us = server.clock()
+        self.broken, self.ended = False, False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.server.joined(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        self.gone()
+        self.parser = self.transport = None  # they refer back: the collector need not look for the ring
+
+    def eof_received(self) -> bool:
+        """A client that ends its side no longer waits; what it may still read is a refusal."""
+        self.ended = True
+        if self.busy is None:
+            return False
+        self.gone()
+        self.answer(HTTPStatus.SERVICE_UNAVAILABLE, "withdrawn")
+        return False
+
+    def gone(self) -> None:
+        left, self.left = self.left, None
+        if left is not None:
+            left()
+
+    def data_received(self, data: bytes) -> None:
+        self.used_us = self.server.clock()
+        self.raw += len(data)
+        if self.broken:
+            if self.raw > LINGER_BYTES:
+                self.close()
+            return
+        begun = self.requests
+        if self.parser is None:
+            self.parser = httptools.HttpRequestParser(self)
+        try:
+            self.parser.feed_data(data)
+            if self.requests != begun:
+                self.raw = 0
+            # The parser tells a header only once it is whole: a head without end, and blank lines before one,
+            # show in the raw bytes alone. Small chunks make a body's raw bytes some times its size.
+            elif self.raw > (MOST_HEAD if self.in_head else MOST_HEAD + 8 * MOST_BODY):
+                raise BadRequest(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest) as error:
+            # After a request that cannot be read, nothing on this connection can be trusted to begin where
+            # it seems to: it is answered, in its turn, and the connection closed.
+            cause = error.__context__ if isinstance(error.__context__, BadRequest) else error
+            if not isinstance(cause, BadRequest):
+                cause = BadRequest(HTTPStatus.BAD_REQUEST, "not a readable request")
+            self.broken, self.raw = True, 0
+            self.waiting.append(Request(self.used_us, keep_alive=False, bad=cause))
+            self.reading = None
+        self.next()
+
+    # Called by the parser
+
+    def on_message_begin(self) -> None:
+        self.reading, self.in_head = Request(self.used_us), True
+
+    def on_url(self, url: bytes) -> None:
+        if self.reading is not None:
+            self.reading.path += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.reading is not None:
+            self.reading.size += len(name) + len(value)
+            if self.reading.size > MOST_HEAD:
+                raise BadRequest(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large")
+            if not self.in_head:
+                return  # a trailer says nothing that counts here
+            known = self.reading.headers
+            low = name.decode("latin-1").lower()
+            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key",
+                                         "x-session-key"):
+                self.reading.bad = BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
+            known[low] = value.decode("latin-1").strip()
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        if self.reading is not None and self.transport is not None:
+            headers = self.reading.headers
+            coding = headers.get("transfer-encoding")
+            # Where the body ends must not be open to argument, or it may hide a request that another reads:
+            # the parser refuses both lengths at once, repeated and signed ones; the rest is refused here.
+            if coding is not None and (coding.lower() != "chunked" or "content-length" in headers):
+                raise BadRequest(HTTPStatus.NOT_IMPLEMENTED, "no such Transfer-Encoding")
+            if self.parser is not None and self.parser.should_upgrade():
+                raise BadRequest(HTTPStatus.NOT_IMPLEMENTED, "no other protocol is spoken here")
+            length = headers.get("content-length", "0")
+            if length.isdigit() and int(length) > MOST_BODY:
+                raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+            if self.reading.headers.get("expect", "").lower() == "100-continue" and self.busy is None:
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if self.reading is not None:
+            if len(self.reading.body) + len(body) > MOST_BODY:
+                raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+            self.reading.body += body
+
+    def on_message_complete(self) -> None:
+        if self.reading is not None and self.parser is not None:
+            self.reading.method = self.parser.get_method().decode("latin-1")
+            self.reading.keep_alive = self.parser.should_keep_alive()
+            self.waiting.append(self.reading)
+            self.reading = None
+        self.requests += 1
+        self.in_head = True
+
+    # Answering
+
+    def next(self) -> None:
+        while self.busy is None and self.waiting and self.transport is not None:
+            self.busy = self.waiting.popleft()
+            self.server.handle(self, self.busy)
+        if self.transport is not None and not self.transport.is_closing():
+            if len(self.waiting) >= MOST_WAITING:
+                self.transport.pause_reading()
+            elif not self.transport.is_reading():
+                self.transport.resume_reading()
+
+    def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None:
+        request, self.busy, self.left = self.busy, None, None
+        if request is None or self.transport is None or self.transport.is_closing():
+            return
+        keep = request.keep_alive and not (self.server.leaving or self.server.moving or self.ended)
+        body = (text + "\n").encode() if text else b""
+        lines = [f"HTTP/1.1 {status.value} {status.phrase}", f"Content-Length: {len(body)}",
+                 *(f"{k.replace('_', '-')}: {v}" for k, v in headers.items())]
+        if body:
+            lines.append("Content-Type: text/plain; charset=utf-8")
+        if not keep:
+            lines.append("Connection: close")
+        data = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        self.transport.write(data if request.method == "HEAD" else data + body)
+        self.used_us = self.server.clock()
+        if self.broken and not self.waiting:
+            # The client may still be sending: to close now would reset what it has not read yet.
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+            self.server.linger(self)
+        elif not keep and not self.waiting:
+            self.transport.close()
+        elif not self.ended:
+            asyncio.get_running_loop().call_soon(self.next)
+
+    def open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def idle(self) -> bool:
+        return self.busy is None and self.reading is None and not self.waiting
+
+    def stalled_us(self, now: int) -> int:
+        """How long a request has stood half read, with none before it that is not answered."""
+        return now - self.reading.came_us if self.reading is not None and self.busy is None else 0
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Connections:
+    """All clients' connections, and how they end."""
+
+    clock: Callable[[], int]
+
+    def __init__(self) -> None:
+        self.connections: set[ClientConnection] = set()
+        self.leaving = self.moving = self.closed = False
+        self.listener: asyncio.Server | None = None
+
+    def joined(self, connection: ClientConnection) -> None:
+        raise NotImplementedError
+
+    def linger(self, connection: ClientConnection) -> None:
+        raise NotImplementedError
+
+    def handle(self, connection: ClientConnection, request: Request) -> None:
+        raise NotImplementedError
+
+    def leave(self) -> None:
+        """Go on answering; let go of connections between requests only."""
+        self.leaving = True
+        for connection in list(self.connections):
+            if connection.idle():
+                connection.close()
+
+    def move(self) -> None:
+        """Another process takes the connections from now on; those held here end after their next answer."""
+        self.moving = True
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    async def close(self) -> None:
+        self.closed = True
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.close()
--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -41,7 +41,7 @@
         return {
             "numbers": self.numbers, "numbered": self.numbered, "recent": list(self.recent),
             "waits": [[*place, until] for place, until in self.pool.waits.items() if until > now],
-            "descriptors": len(self.server.doors) + self.pool.out,
+            "descriptors": len(self.server.connections) + self.pool.out,
             "module": self.dispatcher.memory(self.pool.calls.keys()),
         }
 
--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -185,7 +185,7 @@
         log.info("in %.0f s: %s; held %d%s; calls out %d of %d slots (%d to targets in or after an outage, "
                  "oldest %d ms); %d clients, %d connections, journal %d kB",
                  now - self.summed_s, done, len(self.store.messages), most, self.dispatcher.calls_out,
-                 self.config.settings.slots, sick, oldest // 1000, len(self.server.doors),
+                 self.config.settings.slots, sick, oldest // 1000, len(self.server.connections),
                  len(self.pool.all), self.store.size // 1000)
         for d, _ in piles.most_common(1):
             targets = self.dispatcher.by_destination.get(d, [])
--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -28,7 +28,7 @@
         passed = time.monotonic() - self.leaving_s
         self.server.leave()
         if self.predecessor.given:
-            if passed >= EXIT_S or not (self.pool.out or self.server.doors):
+            if passed >= EXIT_S or not (self.pool.out or self.server.connections):
                 log.info("stopped: all else is the new process's")
                 self.done.set()
             else:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,12 +18,13 @@
 from lemonshunt.choice import Dispatcher
 from lemonshunt.journal.format import OLD_FRAME
 from lemonshunt.net.client import Call, Connection, Item, Pool, wait_us
+from lemonshunt.net.client_connection import ClientConnection
 from lemonshunt.net.config import Address, Config, HostList, host
 from lemonshunt.net.discovery import HOLD_MS, NOTICE_TOP_S, Notices, Watch
 from lemonshunt.net.engine import MOST_GONE, MOST_RECENT, Clock, Engine
 from lemonshunt.net.handover import Predecessor
 from lemonshunt.net.http import BadAnswer, ResponseReader
-from lemonshunt.net.server import Door, Handed, Server
+from lemonshunt.net.server import Handed, Server
 from lemonshunt.net.store import Owed, Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, SETTINGS, Answer, Peer, always, hang, message
@@ -273,7 +274,7 @@
         came: asyncio.Queue[Handed] = asyncio.Queue()
         gone = asyncio.Event()
 
-        def hand_in(handed: Handed, door: Door) -> None:
+        def hand_in(handed: Handed, door: ClientConnection) -> None:
             door.left = gone.set
             came.put_nowait(handed)
         server = Server(settings(SETTINGS), Clock(), 10, hand_in)
