Hold two engines, two instances and two files of settings apart in tests

Looked for: what of one deployment's settings reaches another in one process, or outlasts a SIGHUP. Names of headers and states are the protocol's and not the settings'. Right as it was: two engines whose class of one name has two effects, a retune of one of them, two instances on one wire against each alone, and effect, order, deadline, batches, limits and report fields at SIGHUP.

--- /dev/null
+++ b/tests/test_settings_apart.py
@@ -0,0 +1,319 @@
+"""Settings come from one configuration each: nothing is shared by two engines in one process, and nothing of
+those before a SIGHUP is left, but for messages that were taken on under them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from lemonshunt import interface as i
+from lemonshunt.net.config import Config, parse
+from lemonshunt.net.engine import Engine
+from lemonshunt.wirehost import Host
+from tests.sockets import (
+    OK,
+    PATIENCE,
+    SETTINGS,
+    Answer,
+    Client,
+    Node,
+    Platform,
+    Request,
+    always,
+    free_port,
+    hang,
+)
+from tests.test_node import configure, folder_nodes, node_on, play, target
+from tests.test_operate import classes, hang_up
+from tests.test_sites import SITES, facts
+
+SECOND = 1_000_000
+BARE: dict[str, Any] = {"family_info": {"slots": 4}, "services": [
+    {"name": name, "aim_us": 2 * SECOND, "deadline_us": 60 * SECOND, "effect": effect}
+    for name, effect in (("free", "repeatable"), ("keyed", "by_key"), ("once", "once"))]}
+"""None of the optional keys."""
+
+
+def services(**effects: str) -> dict[str, Any]:
+    """Settings whose classes have these effects."""
+    base = {k: v for k, v in SETTINGS["services"][0].items() if k != "name"}
+    return {**SETTINGS, "services": [{**base, "name": n, "effect": e} for n, e in effects.items()]}
+
+
+# Engines in one process
+
+
+class Site:
+    """An engine of this process with a platform of its own."""
+
+    def __init__(self, folder: Path, facts: dict[str, Any]) -> None:
+        self.folder, self.facts, self.platform, self.port = folder, facts, Platform(), free_port()
+
+    def config(self, **changes: Any) -> Config:
+        return parse({"name": self.folder.name, "listen": f"127.0.0.1:{self.port}",
+                      "discovery": f"127.0.0.1:{self.platform.port}", "known": self.platform.listing(),
+                      "settings": self.facts, **changes}, {"LB_STATE": str(self.folder)})
+
+    def begin(self) -> None:
+        self.engine = Engine(self.config())
+        self.run = asyncio.get_running_loop().create_task(self.engine.run())
+
+    async def ready(self) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not self.engine.ready():
+                await asyncio.sleep(0.01)
+
+    async def hand_in(self, name: str, cls: str, **more: Any) -> int:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        try:
+            return (await client.hand_in(name, cls, **more))[0]
+        finally:
+            client.writer.close()
+
+    async def until(self, test: Callable[[Engine], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not test(self.engine):
+                await asyncio.sleep(0.01)
+
+    async def end(self) -> None:
+        self.engine.done.set()
+        async with asyncio.timeout(PATIENCE):
+            await self.run
+
+
+def together(scene: Callable[[Site, Site], Awaitable[None]], folder: Path, one: dict[str, Any],
+             other: dict[str, Any]) -> None:
+    async def run() -> None:
+        sites = [Site(folder / "one", one), Site(folder / "other", other)]
+        for site in sites:
+            await site.platform.start()
+        try:
+            await scene(*sites)
+        finally:
+            for site in sites:
+                if hasattr(site, "engine"):
+                    await site.end()
+    asyncio.run(run())
+
+
+def test_one_class_name_has_another_effect_at_each_of_two_engines(tmp_path: Path) -> None:
+    async def scene(one: Site, other: Site) -> None:
+        answers = (Answer(500), OK)
+        first = await target(one.platform, always(*answers))
+        second = await target(other.platform, always(*answers))
+        for site in (one, other):
+            site.begin()
+            await site.ready()
+        for site in (one, other):
+            assert await site.hand_in("m", "order") == 202
+        assert (await other.platform.notice("m"))["state"] == "failed"
+        await one.until(lambda e: e.figures.fulfilled["order"] == 1)
+        assert (len(first.requests), len(second.requests)) == (2, 1)
+        assert not one.platform.notices and other.engine.figures.faulted["order"] == 1
+        assert await one.hand_in("n", "pay") == 404 and await other.hand_in("n", "status") == 404
+        assert set(one.engine.figures.fulfilled) == {"order", "status"}
+        assert set(other.engine.figures.fulfilled) == {"order", "pay"}
+    together(scene, tmp_path, services(order="repeatable", status="repeatable"),
+             services(order="once", pay="once"))
+
+
+def test_other_settings_for_one_engine_leave_the_other_as_it_was(tmp_path: Path) -> None:
+    async def scene(one: Site, other: Site) -> None:
+        peers = [await target(site.platform, always(Answer(500), OK)) for site in (one, other)]
+        for site in (one, other):
+            site.begin()
+            await site.ready()
+        was = (other.engine.dispatcher.s, other.engine.server.settings, dict(other.engine.batches),
+               other.engine.pool.fields, other.engine.pool.idle_us, other.engine.store.rules)
+        allowed = {**SETTINGS["allowed"], "conn_idle_us": 9_000_000, "max_open": 1}
+        new = {**services(order="once", pay="once"), "allowed": allowed, "host_types": ["lots"],
+               "family_info": {"slots": 1, "kind_batch": [9]}, "telemetry": {"fields": []}}
+        one.engine.config = one.config(settings=new)
+        one.engine.retune(one.engine.config)
+        assert was == (other.engine.dispatcher.s, other.engine.server.settings, other.engine.batches,
+                       other.engine.pool.fields, other.engine.pool.idle_us, other.engine.store.rules)
+        assert one.engine.batches == {"lots": 9} and one.engine.pool.fields == ()
+        assert await one.hand_in("m", "order") == await other.hand_in("m", "order") == 202
+        assert (await one.platform.notice("m"))["state"] == "failed"
+        await other.until(lambda e: e.figures.fulfilled["order"] == 1)
+        assert [len(p.requests) for p in peers] == [1, 2]
+        assert await other.hand_in("n", "pay") == 404
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
+# Instances on one wire
+
+
+def played(names: dict[str, dict[str, Any]]) -> list[dict[str, Any]]:
+    """All that these instances do over some seconds, where each call's end hangs on its names alone."""
+    host, done, line = Host(), [], []
+    for name, told in sorted(names.items()):
+        n = len(name)
+        kinds = told["host_types"]
+        table = [{"target": 10 * n + k, "belongs_to": 5 + k % 2, "kind": kinds[k % len(kinds)],
+                  "hall": told["zones"][0], "readiness": "SERVING", "power_hint": 20.0} for k in range(4)]
+        line += [{"type": "TABLE", "buffer": n, "elements": table},
+                 {"type": "UP", "forwarder_id": name, "entropy": len(name), "facts": told},
+                 {"type": "MEMBERS", "forwarder_id": name, "how": "FULL", "epoch": 1, "buffer": n}]
+    ends: dict[int, list[dict[str, Any]]] = {}
+    tries: dict[tuple[str, str], int] = {}
+    for step in range(400):
+        now = 5000 * step
+        line += ends.pop(step, [])
+        for name, told in sorted(names.items()):
+            cls = told["services"][step // 2 % len(told["services"])]["name"]
+            if step % 2 == 0 and step < 300:
+                line.append({"type": "ASK", "forwarder_id": name, "msg_id": f"m{step}",
+                             "dest": 5 + step % 4 // 2, "class": cls, "route_key": f"k{step % 6}",
+                             "due_us": now + 900_000})
+            line.append({"type": "DEADLINE_HIT", "forwarder_id": name, "token": "look"})
+        acts = json.loads(host.batch(json.dumps({"clock_us": now, "inbox": line})))["do"]
+        line = []
+        done += acts
+        for a in acts:
+            assert a["type"] != "INTERNAL_ERROR", a
+            if a["type"] == "ISSUE":
+                name, m = a["forwarder_id"], a["msg_id"]
+                n = tries[name, m] = tries.get((name, m), -1) + 1
+                luck = (int(m[1:]) * 7 + 3 * n + len(name)) % 11
+                result = "Failed" if luck < 3 else "QueueFull" if luck < 5 else "Ok"
+                end = {"type": "CLOSED_ATTEMPT", "forwarder_id": name, "msg_id": m, "try": n,
+                       "target": a["target"], "result": result, "lag_us": 5000 * (3 + luck),
+                       "closed": luck >= 5, "wait_ms": 40 * (luck == 4)}
+                if told_reports(names[name]):
+                    end["telemetry"] = [0.5, 30.0]
+                ends.setdefault(step + 3 + luck, []).append(end)
+    return done
+
+
+def told_reports(told: dict[str, Any]) -> bool:
+    return bool(told["telemetry"]["fields"])
+
+
+def test_instances_of_two_deployments_in_one_process_act_as_alone() -> None:
+    one, other = map(facts, SITES)
+    for told in (one, other):  # and one name for a class in both, with another effect in each
+        told["services"][0]["name"] = "order"
+    assert one["services"][0]["effect"] != other["services"][0]["effect"] or (
+        one["services"][0]["deadline_us"] != other["services"][0]["deadline_us"])
+    names = {"forwarder/a": one, "forwarder/bb": other}
+    both = played(names)
+    for name, told in names.items():
+        alone = played({name: told})
+        mine = [a for a in both if a["forwarder_id"] == name]
+        assert mine == alone
+        assert {a["type"] for a in mine} >= {"ISSUE", "ARM"} and len(mine) > 200
+
+
+def up(name: str, told: dict[str, Any]) -> dict[str, Any]:
+    return {"type": "UP", "forwarder_id": name, "entropy": 1, "facts": told}
+
+
+# The file
+
+
+# SIGHUP
+
+
+def test_new_messages_go_by_the_new_settings_and_open_ones_by_the_old(tmp_path: Path) -> None:
+    """One name, and at SIGHUP another effect, order and deadline; also once both have seen a restart."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        go_on = asyncio.Event()
+
+        async def held(request: Request) -> Answer:
+            await go_on.wait()
+            return Answer(500) if request.headers["x-correlation-id"].startswith("old") else OK
+        peer = await target(platform, held)
+        other = await target(platform, always(Answer(500), OK), "s2", block=8)
+        third = await target(platform, hang, "s3", block=9)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("old", "pay"))[0] == 202
+        await peer.got(1)
+        await hang_up(node, settings=classes(pay={
+            "effect": "by_key", "key_scope": "all", "window_us": 30 * SECOND, "by_arrival": True,
+            "deadline_us": 20 * SECOND}))
+        assert (await node.hand_in("long", "pay", left="50", dest=8))[0] == 400  # over twice its deadline
+        assert (await node.hand_in("bare", "pay", left="20", dest=8, Idempotency_Key=None))[0] == 400
+        assert (await node.hand_in("new", "pay", left="20", dest=8))[0] == 202
+        calls = await other.got(2)
+        assert [r.headers["x-correlation-id"] for r in calls] == ["new", "new"]
+        go_on.set()
+        assert (await platform.notice("old"))["state"] == "failed"
+        assert len(peer.requests) == 1
+        assert (await node.hand_in("cut", "pay", left="40", dest=9))[0] == 202
+        await third.got(1)
+        await hang_up(node, settings=SETTINGS)
+        await node.restart()
+        assert [r.headers["x-correlation-id"] for r in await third.got(2)] == ["cut", "cut"]
+        other.handler = always(Answer(500))
+        assert (await node.hand_in("last", "pay", dest=8))[0] == 202
+        assert (await platform.notice("last"))["state"] == "failed"
+    play(scene, tmp_path)
+
+
+def test_batches_and_limits_are_those_of_the_newest_settings(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        go_on = asyncio.Event()
+
+        async def held(request: Request) -> Answer:
+            await go_on.wait()
+            if request.path == "/hook":
+                return OK
+            ids = [item["id"] for item in json.loads(request.body)]
+            return Answer(200, body=json.dumps([{"id": m, "state": "accepted"} for m in ids]).encode())
+        peer = await target(platform, held, kind="lots")
+        node = Node(folder, platform)
+        folder_nodes[-1].append(node)
+
+        def told(batch: int, **allowed: int) -> dict[str, Any]:
+            patient = [{**c, "aim_us": 20 * SECOND} for c in SETTINGS["services"]]
+            return {**SETTINGS, "services": patient, "allowed": {**SETTINGS["allowed"], **allowed},
+                    "family_info": {**SETTINGS["family_info"], "slots": 1, "kind_batch": [1, batch]}}
+
+        async def calls(prefix: str) -> list[str]:
+            """The first leaves alone, and what waits for it as the settings have it."""
+            go_on.clear()
+            peer.requests.clear()
+            for n in range(3):
+                assert (await node.hand_in(f"{prefix}{n}"))[0] == 202
+            await peer.got(1)
+            go_on.set()
+            await node.shows(lambda f: f["open_requests"] == 0)
+            return [r.path for r in peer.requests]
+        configure(node, settings=told(1))
+        await node.start()
+        assert await calls("a") == ["/hook"] * 3
+        await hang_up(node, settings=told(5))
+        assert await calls("b") == ["/hook", "/hook/batch"]
+        await hang_up(node, settings=told(1))
+        assert await calls("c") == ["/hook"] * 3
+        await hang_up(node, settings=told(1, max_open=3))
+        go_on.clear()
+        assert [(await node.hand_in(f"d{n}"))[0] for n in range(2)] == [202, 202]
+        assert (await node.hand_in("over"))[0] in (429, 503)
+        await hang_up(node, settings=told(1, max_open=9))
+        assert (await node.hand_in("fits"))[0] == 202
+    play(scene, tmp_path)
+
+
+def test_reports_are_read_by_the_newest_fields(tmp_path: Path) -> None:
+    async def scene(one: Site, other: Site) -> None:
+        await target(one.platform, always(Answer(200, {"X-Backend-Load": "x0=0.5,x1=70"})))
+        one.begin()
+        await one.ready()
+        ends: list[i.Ended] = []
+        book = one.engine.book
+        one.engine.book = lambda e: (ends.append(e), book(e))[1]  # type: ignore[method-assign]
+        for n, fields in enumerate((["x0", "x1"], [], ["x0", "x1"])):
+            one.engine.retune(one.config(settings={**one.facts, "telemetry": {"fields": fields}}))
+            assert await one.hand_in(f"m{n}", "order") == 202
+            await one.until(lambda e, n=n: e.figures.fulfilled["order"] == n + 1)
+        told = i.LoadReport(0.5, 70.0)
+        assert [e.report for e in ends] == [told, None, told]
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
+# What the module keeps of settings that were replaced
