Let a SIGHUP before the first round, or after the last, play no round and open no watch

Crossing: SIGHUP while a start waits for the agent's list. Change: before the first round the new settings only stand among the events, and after the end the reading is kept for the engine that follows. With it both pass.

--- a/lemonshunt/net/operators.py
+++ b/lemonshunt/net/operators.py
@@ -97,13 +97,16 @@
             log.error("the old configuration is kept: %s", error)
             return
         self.figures.accepted += 1
-        self.round()  # what has come till now is decided as it came
+        if self.round_us:
+            self.round()  # what has come till now is decided as it came
         fixed = ("name", "listen", "state", "admin", "power")
         later = [f for f in fixed if getattr(new, f) != getattr(old, f)]
         fleet, waits = joint(old.fleet, new.fleet)
         self.config = replace(new, **{f: getattr(old, f) for f in later}, known=old.known, seed=old.seed,
                               fleet=fleet)
         later += waits
+        if self.closed:  # only an engine that begins again from the journal goes by it
+            return
         self.force = InForce(digest({**new.raw, "durability": level(old)}), "SIGHUP", time.time())
         self.share_sockets(new.sockets)
         self.store.most = self.store.bound(new.disk_bytes)
@@ -126,5 +129,6 @@
         self.pool.settle(new.report_fields, s.conn_idle_us, s.dial_timeout_us)
         self.figures.cover(c.name for c in s.classes)
         self.store.settle(Rules(s.max_attempts, s.classes))
-        self.post(i.Retuned(s))
-        self.round()
+        self.events.append(i.Retuned(s))
+        if self.round_us:  # the first round of a start waits for the list, whatever comes meanwhile
+            self.round()
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -9,10 +9,14 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from lemonshunt import interface as i
+from lemonshunt.net import starting
 from lemonshunt.net.config import Config, parse
 from lemonshunt.net.engine import Engine
-from lemonshunt.wirehost import Host
+from lemonshunt.net.store import Rules, Store, Taken
+from lemonshunt.wirehost import Host, settings
 from tests.sockets import (
     OK,
     PATIENCE,
@@ -316,4 +320,64 @@
     together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
 
 
+def waiting_message(folder: Path, told: dict[str, Any], *hosts: dict[str, Any]) -> None:
+    """A journal in which a message waits, with the list of before."""
+    store = Store(folder, 3_000_000)
+    s = settings(told)
+    store.settle(Rules(s.max_attempts, s.classes))
+    store.list(1, {h["host"]: h for h in hosts}, 0, "")
+    store.take(Taken("m", "order", 7, 1 << 60, "key", None, b"body"))
+    store.close()
+
+
+def test_sighup_while_a_start_waits_for_the_list_sends_nothing_by_that_of_before(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The reading used to play a round at once, so that what the journal held went to a drained target."""
+    async def scene(one: Site, other: Site) -> None:
+        monkeypatch.setattr(starting, "FIRST_S", PATIENCE)
+        drained = await target(one.platform, always(OK))
+        waiting_message(one.folder, one.facts, *one.platform.hosts.values())
+        fresh = await target(one.platform, always(OK), "s2")
+        one.platform.hosts["s1"]["health"], one.platform.seq = "draining", 2
+        gate, answer = asyncio.Event(), one.platform.answer
+
+        async def held(request: Request) -> Answer | bytes | None:
+            await gate.wait()
+            return await answer(request)
+        one.platform.handler = held
+        one.begin()
+        await one.platform.got(1)
+        told = {**one.engine.config.raw, "known": None,
+                "settings": {**one.facts, "allowed": {**SETTINGS["allowed"], "max_open": 7}}}
+        (tmp_path / "config.json").write_text(json.dumps(told))
+        monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+        monkeypatch.setenv("LB_STATE", str(one.folder))
+        one.engine.reload()
+        assert one.engine.figures.accepted == 1 and one.engine.config.settings.max_open == 7
+        for _ in range(5):
+            await asyncio.sleep(0)
+            assert not one.engine.dispatcher.attempts and not one.engine.pool.out
+        gate.set()
+        await fresh.got(1)
+        assert not drained.requests and one.engine.dispatcher.s.max_open == 7
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
+def test_sighup_in_the_last_moment_of_an_engine_opens_nothing_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A watch that moved after the engine's end would have gone on beside that of the engine after it."""
+    async def scene(one: Site, other: Site) -> None:
+        one.begin()
+        await one.ready()
+        await one.end()
+        (tmp_path / "config.json").write_text(json.dumps(
+            {**one.engine.config.raw, "known": None, "discovery": f"127.0.0.1:{other.platform.port}"}))
+        monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+        monkeypatch.setenv("LB_STATE", str(one.folder))
+        one.engine.reload()
+        assert one.engine.config.discovery.port == other.platform.port  # for the engine after it
+        assert one.engine.watch.task is None and one.engine.notices.task is None
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
 # What the module keeps of settings that were replaced
