Count a log format read at SIGHUP as waiting for a start, by one list of such keys

The reading kept a list of its own of what only a start changes, without log_format: the format in the file counted as in force and was not told as waiting. Both now go by reconfigure.FIXED, in the file's own names. Without it: 'assert (not True)' for config.log_json. With it: passed.

--- a/lemonshunt/net/operators.py
+++ b/lemonshunt/net/operators.py
@@ -12,7 +12,7 @@
 from lemonshunt.net.admin import Answer
 from lemonshunt.net.config import Config, ConfigError, replacement
 from lemonshunt.net.desk import Desk, level, log
-from lemonshunt.net.reconfigure import InForce, digest, examine, joint
+from lemonshunt.net.reconfigure import FIXED, WRITTEN, InForce, digest, examine, joint
 from lemonshunt.net.store import Owed, Rules
 
 
@@ -99,12 +99,11 @@
         self.figures.accepted += 1
         if self.round_us:
             self.round()  # what has come till now is decided as it came
-        fixed = ("name", "listen", "state", "admin", "power")
-        later = [f for f in fixed if getattr(new, f) != getattr(old, f)]
+        later = [f for f in FIXED if getattr(new, f) != getattr(old, f)]
         fleet, waits = joint(old.fleet, new.fleet)
         self.config = replace(new, **{f: getattr(old, f) for f in later}, known=old.known, seed=old.seed,
                               fleet=fleet)
-        later += waits
+        later = [WRITTEN.get(f, f) for f in later] + waits
         if self.closed:  # only an engine that begins again from the journal goes by it
             return
         self.force = InForce(digest({**new.raw, "durability": level(old)}), "SIGHUP", time.time())
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -380,4 +380,21 @@
     together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
 
 
+def test_what_waits_for_a_start_is_told_and_not_taken_for_in_force(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    """Another format of the log used to count as in force, though only a start brings it."""
+    async def scene(one: Site, other: Site) -> None:
+        one.begin()
+        await one.ready()
+        (tmp_path / "config.json").write_text(json.dumps({
+            **one.engine.config.raw, "known": None, "log_format": "json", "admin_addr": "127.0.0.1:9"}))
+        monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+        monkeypatch.setenv("LB_STATE", str(one.folder))
+        with caplog.at_level("INFO"):
+            one.engine.reload()
+        assert not one.engine.config.log_json and one.engine.config.admin is None
+        assert caplog.messages[-1].endswith("takes effect at the next start: admin_addr, log_format")
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
 # What the module keeps of settings that were replaced
