Keep told waits at the last gate when new settings part or join routes

Crossing: SIGHUP with another routes_apart while a wait is in force. The last gate before a call's first byte finds waits by destination or by route; once that changed, no wait that had been told was found any more, nor one told to a call that was out. They are entered anew for the routes whose kind changed. Without it: 'KeyError: (7, 1)'. With it: passed.

--- a/lemonshunt/net/operators.py
+++ b/lemonshunt/net/operators.py
@@ -121,8 +121,10 @@
 
     def retune(self, new: Config) -> None:
         """New settings take hold everywhere between two rounds. Open messages keep what they came under."""
-        s = replace(new.settings, ends_told=True)
+        s, apart = replace(new.settings, ends_told=True), self.apart
         self.derive(s)
+        if self.apart != apart:
+            self.regroup(apart)
         self.server.settings = s
         self.watch.pushed = not s.subscribe
         self.pool.settle(new.report_fields, s.conn_idle_us, s.dial_timeout_us)
@@ -131,3 +133,17 @@
         self.events.append(i.Retuned(s))
         if self.round_us:  # the first round of a start waits for the list, whatever comes meanwhile
             self.round()
+
+    def regroup(self, before: set[str]) -> None:
+        """Routes stand apart now, or no longer: a wait that was told binds whatever it may be the wait of."""
+        places = {}
+        for name, host in self.hosts.items():
+            kind, number = str(host.raw.get("class")), self.numbers[name]
+            if (kind in self.apart) is not (kind in before):
+                places[number] = (host.destination, number if kind in self.apart else -1)
+        for (destination, route), until in list(self.pool.waits.items()):
+            for number, place in places.items():
+                if place[0] == destination and route in (-1, number):
+                    self.pool.bind(place, until)
+        for call in self.pool.calls.values():
+            call.place = places.get(call.target, call.place)
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -320,6 +320,25 @@
     together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
 
 
+def test_a_wait_at_the_last_gate_outlasts_settings_that_part_or_join_routes(tmp_path: Path) -> None:
+    async def scene(one: Site, other: Site) -> None:
+        await target(one.platform, always(OK))
+        await target(one.platform, always(OK), "s2")
+        await target(one.platform, always(OK), "s3", block=8)
+        one.begin()
+        await one.ready()
+        e = one.engine
+        n1, n2, n3 = (e.number(f"s{n}") for n in (1, 2, 3))
+        e.pool.bind((7, -1), 1 << 60)
+        family = one.facts["family_info"]
+        e.retune(one.config(settings={**one.facts, "family_info": {**family, "routes_apart": [True, False]}}))
+        assert e.pool.waits[7, n1] == e.pool.waits[7, n2] == 1 << 60 and (8, n3) not in e.pool.waits
+        e.pool.bind((8, n3), 1 << 61)
+        e.retune(one.config())
+        assert e.pool.waits[8, -1] == 1 << 61 and e.pool.waits[7, -1] == 1 << 60
+    together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
 def waiting_message(folder: Path, told: dict[str, Any], *hosts: dict[str, Any]) -> None:
     """A journal in which a message waits, with the list of before."""
     store = Store(folder, 3_000_000)
