Take a new file that leaves out what the wire's page calls optional

Before a file replaces the one in force it must have all keys of that, so that no default stands in for what was cut off. Among them were keys that the page calls optional ('where given', 'may be absent', 'if present'): by_arrival, aim_stretch, key_rest_us, prices.fleet. Settings whose only class no longer keeps its order, or that have no rest of keys any more, were refused whole, and a move of discovery in the same file with them. Without it: 'assert False is True', faults=[{'path': 'settings.services[0].by_arrival', 'fault': 'missing'}], and so for the three others. With it they pass; window_us, key_scope, fall_us and waste are missed as before.

--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from lemonshunt.net.fleet_config import FleetConfig
 
+OPTIONAL = frozenset({"settings.services[].by_arrival", "settings.services[].aim_stretch",
+                      "settings.contract.key_rest_us", "settings.prices.fleet"})
+"""What the wire's page calls optional: a new file that lacks it takes it back."""
 HEALTH = {"up": "SERVING", "draining": "DRAINING", "removed": "DELETED"}
 
 
@@ -169,6 +172,8 @@
         for key, value in old.items():
             name = f"{where}.{key}".lstrip(".")
             if key not in new:
+                if name in OPTIONAL:
+                    continue
                 return name
             if value is not None and (found := short_of(value, new[key], name)):
                 return found
@@ -178,7 +183,7 @@
         shared = set.intersection(*(set(e) for e in old))
         for entry in new:
             for key in sorted(shared):
-                if not isinstance(entry, Mapping) or key not in entry:
+                if not isinstance(entry, Mapping) or key not in entry and f"{where}[].{key}" not in OPTIONAL:
                     return f"{where}[].{key}"
     return ""
 
--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from lemonshunt.net.config import Config, ConfigError, FleetFault, comparable, fleet, parse
+from lemonshunt.net.config import OPTIONAL, Config, ConfigError, FleetFault, comparable, fleet, parse
 
 if TYPE_CHECKING:
     from lemonshunt.net.fleet_config import FleetConfig
@@ -206,7 +206,10 @@
         for key in [*old, *(k for k in new if k not in old)]:
             where = f"{path}.{key}".lstrip(".")
             if key not in new:
-                verdict.fault(where, "missing")
+                if general(where) in OPTIONAL:
+                    verdict.changes.append(where)
+                else:
+                    verdict.fault(where, "missing")
             elif key in old:
                 _compare(verdict, where, old[key], new[key])
             else:
@@ -228,7 +231,8 @@
             verdict.fault(where, f"{_kind(entry)} in place of an object")
             continue
         for key in sorted(shared - set(entry)):
-            verdict.fault(f"{where}.{key}", "missing")
+            if general(f"{where}.{key}") not in OPTIONAL:
+                verdict.fault(f"{where}.{key}", "missing")
         name = entry.get("name")
         if name in names:
             verdict.fault(f"{where}.name", f"{name!r} stands there twice")
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -13,8 +14,9 @@
 
 from lemonshunt import interface as i
 from lemonshunt.net import starting
-from lemonshunt.net.config import Config, parse
+from lemonshunt.net.config import Config, ConfigError, parse, replacement
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.reconfigure import examine
 from lemonshunt.net.store import Rules, Store, Taken
 from lemonshunt.wirehost import Host, settings
 from tests.sockets import (
@@ -219,6 +221,40 @@
 # The file
 
 
+def without(told: dict[str, Any], *path: str) -> dict[str, Any]:
+    made = copy.deepcopy(told)
+    inner = made
+    for part in path[:-1]:
+        inner = inner[int(part) if isinstance(inner, list) else part]
+    del inner[path[-1]]
+    return made
+
+
+@pytest.mark.parametrize("path, valid", [
+    (("settings", "services", "0", "by_arrival"), True), (("settings", "contract", "key_rest_us"), True),
+    (("settings", "services", "0", "aim_stretch"), True), (("settings", "prices", "fleet"), True),
+    (("settings", "services", "0", "window_us"), False), (("settings", "services", "0", "key_scope"), False),
+    (("settings", "contract", "fall_us"), False), (("settings", "prices", "waste"), False)])
+def test_a_new_file_may_leave_out_what_the_page_calls_optional_and_nothing_else(
+        path: tuple[str, ...], valid: bool, tmp_path: Path) -> None:
+    """A class that no longer keeps its order used to cost the whole file, and with it a move of discovery."""
+    told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {
+        **SETTINGS, "contract": {"key_rest_us": 5000, "fall_us": 9}, "prices": {"fleet": 1.0, "waste": 0.1},
+        "services": [{**SETTINGS["services"][0], "by_arrival": True, "aim_stretch": 2.0}]}}
+    env = {"LB_STATE": "/state", "LB_CONFIG": str(tmp_path / "config.json")}
+    old = parse(told, env)
+    new = without(told, *path)
+    (tmp_path / "config.json").write_text(json.dumps(new))
+    assert examine(json.dumps(new).encode(), old, env).valid is valid
+    if not valid:
+        with pytest.raises(ConfigError, match=f"{path[-1]} is missing"):
+            replacement(old, env)
+        return
+    s = replacement(old, env).settings
+    assert s.classes[0].in_order is (path[-1] != "by_arrival")
+    assert s.key_rest_us == (0 if path[-1] == "key_rest_us" else 5000)
+
+
 # SIGHUP
 
 
