Believe a report in an answer only where the settings say that answers hold one

By the protocol answers to calls carry reports where the settings state so (piggyback). With 'pull', where only probes do, or 'silent', the fields alone decided, and any X-Backend-Load would have been taken for the limit. Without it: assert ('x0', 'x1') == (). With it: 6 passed.

--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -127,6 +127,11 @@
     return bool(name == "json")
 
 
+def report_fields(telemetry: Mapping[str, Any]) -> tuple[str, ...]:
+    """What answers to calls report; nothing where only probes' answers do, or none."""
+    return () if telemetry.get("how") in ("pull", "silent") else tuple(telemetry.get("fields") or ())
+
+
 def fleet(raw: Any, name: str) -> FleetConfig | None:
     """Read by what only a configuration that has one imports. Raises ConfigError."""
     if raw is None:
@@ -230,7 +235,7 @@
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
             known=host_list(told.get("known") or {"seq": -1, "whole": True, "hosts": []}),
             settings=settings(facts),
-            report_fields=tuple((facts.get("telemetry") or {}).get("fields") or ()),
+            report_fields=report_fields(facts.get("telemetry") or {}),
             admin=address(admin) if admin else None,
             inherited=descriptor(environ.get("LB_INHERITED_FD")),
             power=durability(told.get("durability", "process")),
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -221,6 +221,16 @@
 # The file
 
 
+@pytest.mark.parametrize("telemetry, fields", [
+    ({"fields": ["x0", "x1"], "how": "piggyback"}, ("x0", "x1")), ({"fields": ["x0", "x1"]}, ("x0", "x1")),
+    ({"fields": ["x0", "x1"], "how": "pull"}, ()), ({"fields": ["x0", "x1"], "how": "silent"}, ()),
+    ({"fields": [], "how": "piggyback"}, ()), (None, ())])
+def test_answers_hold_reports_only_where_the_settings_say_so(telemetry: Any, fields: tuple[str, ...]) -> None:
+    told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2",
+            "settings": {**SETTINGS, "telemetry": telemetry}}
+    assert parse(told, {"LB_STATE": "/state"}).report_fields == fields
+
+
 def without(told: dict[str, Any], *path: str) -> dict[str, Any]:
     made = copy.deepcopy(told)
     inner = made
