Let a keyed class that names no scope be repeated at the same target only

Where the settings do not say which targets drop repeats, all of them were taken to: the laxest reading stood in for what was not told. Only the target itself surely does. Without it: 'assert False', all(c.scope is Scope.TARGET). With it: passed, on the program too, where nothing of a class without a window goes again.

--- a/lemonshunt/wirehost.py
+++ b/lemonshunt/wirehost.py
@@ -77,7 +77,7 @@
             aim_us=need(c, "aim_us", int),
             deadline_us=need(c, "deadline_us", int),
             effect=word(EFFECTS, c, "effect"),
-            scope=SCOPES.get(c.get("key_scope", "all"), i.Scope.TARGET),
+            scope=SCOPES.get(c.get("key_scope", ""), i.Scope.TARGET),  # untold, only the same surely drops it
             window_us=int(c.get("window_us", 0)),
             in_order=bool(c.get("by_arrival", False)),
             worth=float(c.get("gain", 1.0)),
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -221,6 +221,33 @@
 # The file
 
 
+def test_settings_with_none_of_the_optional_keys_promise_nothing(tmp_path: Path) -> None:
+    """What is not told is neither allowed nor known: a keyed message goes again nowhere, as nothing says for
+    how long and by whom its repeats are dropped."""
+    s = settings(BARE)
+    assert [(c.effect, c.window_us, c.in_order) for c in s.classes] == [
+        (i.Effect.REPEATABLE, 0, False), (i.Effect.KEYED, 0, False), (i.Effect.ONCE, 0, False)]
+    assert all(c.scope is i.Scope.TARGET for c in s.classes)
+    assert not (s.parallel_tries or s.may_cancel or s.may_probe or s.retry_after or s.subscribe
+                or s.weights_told or s.late_halves or s.tenants or s.kinds or s.zone_fees)
+    assert (s.balancers, s.refused_price, s.key_rest_us, s.conn_idle_us) == (1, 0.0, 0, 0)
+
+    async def scene(platform: Platform, folder: Path) -> None:
+        peers = [await target(platform, always(Answer(500), OK), f"s{n}", block=n) for n in range(3)]
+        node = Node(folder, platform)
+        told = json.loads((folder / "config.json").read_text())
+        keep = ("name", "listen", "discovery")
+        (folder / "config.json").write_text(json.dumps({**{k: told[k] for k in keep}, "settings": BARE}))
+        folder_nodes[-1].append(node)
+        await node.start()
+        for n, name in enumerate(("free", "keyed", "once")):
+            assert (await node.hand_in(f"m{n}", name, dest=n))[0] == 202
+        assert (await platform.notice("m1"))["state"] == (await platform.notice("m2"))["state"] == "failed"
+        await node.shows(lambda f: f["fulfilled"] == {"free": 1, "keyed": 0, "once": 0})
+        assert [len(p.requests) for p in peers] == [2, 1, 1]
+    play(scene, tmp_path)
+
+
 @pytest.mark.parametrize("telemetry, fields", [
     ({"fields": ["x0", "x1"], "how": "piggyback"}, ("x0", "x1")), ({"fields": ["x0", "x1"]}, ("x0", "x1")),
     ({"fields": ["x0", "x1"], "how": "pull"}, ()), ({"fields": ["x0", "x1"], "how": "silent"}, ()),
