End an instance on the wire before another comes up under its name

An UP whose settings cannot hold left the instance of before in place: what came under the name afterwards was decided by settings that had been replaced. Without the change: ['INTERNAL_ERROR', 'END_FAILED'] == ['INTERNAL_ERROR']. With it: passed.

--- a/lemonshunt/wirehost.py
+++ b/lemonshunt/wirehost.py
@@ -269,6 +269,8 @@
             touched.pop(name, None)
             return
         if kind == "UP":
+            self.instances.pop(name, None)  # whatever becomes of this one, none of before goes on
+            touched.pop(name, None)
             try:
                 self.instances[name] = touched[name] = Instance(event, now)
             except ValueError as error:
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -218,6 +218,16 @@
     return {"type": "UP", "forwarder_id": name, "entropy": 1, "facts": told}
 
 
+def test_an_instance_that_cannot_come_up_again_leaves_none_of_before() -> None:
+    """The one that ended used to go on under its name, with the settings that had been replaced."""
+    host = Host()
+    host.batch(json.dumps({"clock_us": 0, "inbox": [up("f", BARE)]}))
+    bad = {**BARE, "family_info": {"slots": 0}}
+    ask = {"type": "ASK", "forwarder_id": "f", "msg_id": "m", "dest": 1, "class": "gone", "due_us": 9}
+    done = json.loads(host.batch(json.dumps({"clock_us": 1, "inbox": [up("f", bad), ask]})))["do"]
+    assert [a["type"] for a in done] == ["INTERNAL_ERROR"]
+
+
 # The file
 
 
