Pass over the red tests that KNOWN-RED.txt lists, print these, and fail where the list does not hold

So does a listed one that is green, skipped or expected to fail, one that a whole run did not hold, and, before anything runs, a line that is not 'test | cause | issue', a test listed twice, or a fourth. Without the file, or with an empty one, all is as it was.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""What holds for every run of these tests."""
+
+pytest_plugins = ("tests.known_red",)
