--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -497,6 +497,3 @@
         assert not one.engine.config.log_json and one.engine.config.admin is None
         assert caplog.messages[-1].endswith("takes effect at the next start: admin_addr, log_format")
     together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
-
-
-# What the module keeps of settings that were replaced
