--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -6,6 +6,7 @@
 import asyncio
 import copy
 import json
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 from lemonshunt.net import starting
 from lemonshunt.net.config import Config, ConfigError, parse, replacement
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.handover import Lock
 from lemonshunt.net.reconfigure import examine
 from lemonshunt.net.store import Rules, Store, Taken
 from lemonshunt.wirehost import Host, settings
@@ -497,3 +499,26 @@
         assert not one.engine.config.log_json and one.engine.config.admin is None
         assert caplog.messages[-1].endswith("takes effect at the next start: admin_addr, log_format")
     together(scene, tmp_path, services(order="repeatable"), services(order="repeatable"))
+
+
+def test_sighup_before_the_journal_is_free_is_read_once_it_is(tmp_path: Path) -> None:
+    """A process that waits for the one before it has read its configuration already: a SIGHUP that moves
+    discovery meanwhile used to be ignored, and it began at the old address."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(OK))
+        moved = Platform()
+        await moved.start()
+        moved.hosts = platform.hosts
+        lock = Lock(folder / "state")
+        assert lock.take()
+        node = Node(folder, platform)
+        folder_nodes[-1].append(node)
+        await node.spawn()
+        await node.until_logged("waiting")
+        configure(node, discovery=f"127.0.0.1:{moved.port}")
+        node.process.send_signal(signal.SIGHUP)
+        lock.release()
+        await node.until_ready()
+        await moved.got(1)
+        assert (await node.figures())["cfg_accepted"] == 1
+    play(scene, tmp_path)
