--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -1,5 +1,5 @@
-"""Handing over to a new version that starts while this one serves: the lock on the journal, and the talk of
-the two processes over a Unix socket in the shared folder. What is handed over, the engine knows.
+"""Handing over to a new version that starts while this one serves: the talk of the two processes over a Unix
+socket in the shared folder. What is handed over, the engine knows.
 
   new: ask                    old: memory, or no
   new: prepared               old: yours, once the lock is free
@@ -10,113 +10,27 @@
 
 import asyncio
 import base64
-import fcntl
-import json
 import logging
-import os
 from collections.abc import Callable
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from dataclasses import asdict
 from http import HTTPStatus
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from lemonshunt import interface as i
 from lemonshunt.net.admin import Answer
+from lemonshunt.net.link import Line, Link, short_path
+from lemonshunt.net.lock import PAUSE_S, Lock
 from lemonshunt.net.server import Asker, Handed
 
-SOCKET, LOCK = "handover", "lock"
-MOST_PATH = 100  # bytes that the path of a Unix socket may have, and some to spare
-MOST_LINE = 64 * 1024 * 1024
+__all__ = ["Line", "Link", "Lock", "Predecessor", "Proxy", "Successor", "claim"]
+SOCKET = "handover"
 HOLD_S = 1.5  # a new process that takes longer to read the journal is not waited for: clients are
-PAUSE_S = 0.05  # between two tries to become the one that holds the journal
 ASK_S = 2.0  # how long the old process may take to give its answer
-Line = dict[str, Any]
 log = logging.getLogger("lemonshunt.handover")
 
 
-class Lock:
-    """Whoever holds it may write the journal. It goes with its process, however that ends."""
-
-    def __init__(self, folder: Path) -> None:
-        self.path, self.fd = folder / LOCK, -1
-
-    def take(self) -> bool:
-        if self.fd < 0:
-            self.path.parent.mkdir(parents=True, exist_ok=True)
-            fd = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-            try:
-                fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except OSError:
-                os.close(fd)
-                return False
-            self.fd = fd
-        return True
-
-    async def wait(self) -> None:
-        while not self.take():
-            await asyncio.sleep(PAUSE_S / 10)
-
-    def release(self) -> None:
-        if self.fd >= 0:
-            os.close(self.fd)
-            self.fd = -1
-
-
-@contextmanager
-def _short(path: Path) -> Any:
-    """A path that is short enough for a Unix socket, whatever folder it is in."""
-    if len(os.fsencode(path)) <= MOST_PATH:
-        yield str(path)
-        return
-    fd = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        yield f"/proc/self/fd/{fd}/{path.name}"
-    finally:
-        os.close(fd)
-
-
-class Link(asyncio.Protocol):
-    """Lines of JSON, one way and the other."""
-
-    def __init__(self, heard: Callable[[Link, Line], None], lost: Callable[[Link], None]) -> None:
-        self.heard, self.lost = heard, lost
-        self.transport: asyncio.Transport | None = None
-        self.parts: list[bytes] = []
-        self.size = 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        first, *rest = data.split(b"\n")
-        self.parts.append(first)
-        self.size += len(first)
-        for part in rest:
-            line, self.parts, self.size = b"".join(self.parts), [part], len(part)
-            try:
-                self.heard(self, json.loads(line))
-            except (ValueError, TypeError, KeyError) as error:
-                log.error("handover: a line that cannot be read: %r", error)
-                self.close()
-                return
-        if self.size > MOST_LINE:
-            self.close()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
-        self.lost(self)
-
-    def send(self, **line: Any) -> None:
-        if self.transport is not None:
-            self.transport.write(json.dumps(line, separators=(",", ":")).encode() + b"\n")
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
-
-
 if TYPE_CHECKING:
     class Giver(Protocol):
         """What the engine that serves does for the handover."""
@@ -147,7 +61,7 @@
     async def listen(self, folder: Path) -> None:
         """Where such a socket cannot be had, this process serves without: a new one waits for its end."""
         try:
-            with _short(folder / SOCKET) as path:
+            with short_path(folder / SOCKET) as path:
                 self.listener = await asyncio.get_running_loop().create_unix_server(
                     lambda: Link(self.heard, self.lost), path)
         except (OSError, NotImplementedError) as error:
@@ -311,7 +225,7 @@
     async def ask(self, folder: Path) -> bool:
         """Whether the old process holds still and has told what it knows."""
         try:
-            with _short(folder / SOCKET) as path:
+            with short_path(folder / SOCKET) as path:
                 await asyncio.get_running_loop().create_unix_connection(lambda: self.link, path)
         except OSError:
             return False
