Withdraw what was told of a client before there was an engine, when its process dies

The new process waits for the list before it serves. A request that the old one handed over meanwhile, and the old one's death after it, were replayed in an order in which the request came to life again: it was taken on and sent though its client had gone with its connection, and may have handed it in elsewhere. Now what is replayed is withdrawn in the same turn. Without it: assert [] == ['m'] (who was told to have left).

--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -253,7 +253,7 @@
         for line in early:
             self.heard(self.link, line)
         if self.over:
-            engine.alone()
+            self.part(engine)
 
     def heard(self, link: Link, line: Line) -> None:
         if "memory" in line or "yours" in line or "no" in line:
@@ -286,12 +286,17 @@
         self.over = True
         if not self.turn.done():
             self.turn.set_result(False)
+        if self.engine is not None:
+            self.part(self.engine)
+
+    def part(self, engine: Taker) -> None:
+        """The clients of the process before went with it, also those whose requests were told before there
+        was an engine to take them: none of them can hear an answer."""
         for proxy in list(self.proxies.values()):
             if proxy.left is not None:
                 proxy.left()
         self.proxies.clear()
-        if self.engine is not None:
-            self.engine.alone()
+        engine.alone()
 
 
 async def claim(lock: Lock, folder: Path) -> Successor | None:
--- a/lemonshunt/net/link.py
+++ b/lemonshunt/net/link.py
@@ -66,8 +66,8 @@
         self.lost(self)
 
     def read_on(self, transport: asyncio.Transport) -> None:
-        """The other process went before what was written to it: a failed write ends the connection, and asyncio
-        would not read what had come before. It says how calls ended and what was taken on."""
+        """The other process was gone as this one wrote to it. Such a failed write ends the connection, and
+        asyncio reads no more of what came before: how calls ended, and what was taken on."""
         fd = transport.get_extra_info("socket").fileno()
         with suppress(OSError):
             while data := os.read(fd, CHUNK):
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from pathlib import Path
 from typing import Any
 
 from lemonshunt import interface as i
@@ -96,3 +95,21 @@
         await until(lambda: giver.bereft_with is not None)
         assert door.said == [202] and giver.bereft_with == {}
     asyncio.run(scene())
+
+
+HANDED = (b'{"hand_in":[1,{"id":"m","class_name":"pay","destination":7,"due_us":9,"key":null,'
+          b'"order_key":null,"tenant":"acme","resent":false,"body":""}]}\n')
+
+
+def test_request_told_before_the_engine_was_there_is_withdrawn_when_the_old_process_dies() -> None:
+    """The new process hears the list before it serves: what was told meanwhile was taken on for nobody."""
+    async def scene() -> None:
+        successor, engine = Successor(), Taker()
+        theirs = await linked(successor.link)
+        theirs.sendall(HANDED + WORD)
+        theirs.close()
+        await until(lambda: successor.over)
+        successor.attach(engine)
+        assert engine.told == ["m", ("m", i.Outcome.DELIVERED), "alone"]
+        assert engine.left == ["m"] and not successor.proxies
+    asyncio.run(scene())
