Keep calls from timing out in the hand-over tests that count them, however slow the start

A second start of over two seconds let the call that hangs time out (2 s is its class's aim), and a message that may be repeated then went again: a plain new try, and no fault of the hand-over. Seen under load as assert ['out', 'out', 'pay'] == ['out', 'pay'] and assert (2 == 1) in 2 of 5 runs at a load of 17 on 8 cores.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,7 +7,6 @@
 import signal
 import socket
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
@@ -18,9 +17,14 @@
 from tests.test_node import configure, folder_nodes, play, target
 from tests.test_operate import classes
 
+LONG = {"aim_us": 30_000_000}
+"""No call times out before its test is over, however slow the machine: a second one is no plain new try."""
 
-async def first_on(folder: Path, platform: Platform, **more: Any) -> Node:
+
+async def first_on(folder: Path, platform: Platform, patient: bool = False, **more: Any) -> Node:
     node = Node(folder, platform, **more)
+    if patient:
+        configure(node, settings=classes(order=LONG, status=LONG, turns=LONG, pay=LONG))
     node.hold_listener()
     folder_nodes[-1].append(node)
     return await node.start()
@@ -48,7 +52,7 @@
         gate = asyncio.Event()
         slow = await target(platform, gated(gate))
         other = await target(platform, always(OK), "s2", block=8)
-        old = await first_on(folder, platform)
+        old = await first_on(folder, platform, patient=True)
         kept, half = await old.client(), await old.client()
         assert (await kept.hand_in("out", "turns", X_Session_Key="k"))[0] == 202
         assert (await kept.hand_in("pay", "pay"))[0] == 202
@@ -88,7 +92,7 @@
         free = await target(platform, always(OK), "s4", block=9)
         await target(platform, always(Answer(500)), "s5", block=10)
         platform.accepts = False
-        old = await first_on(folder, platform)
+        old = await first_on(folder, platform, patient=True)
         assert (await old.hand_in("owed", "pay", dest=10))[0] == 202
         await platform.until(lambda: any(r.path == "/v1/notices" for r in platform.requests))
         assert (await old.operate("POST", "/_endpoints/detach", b"s3"))[0] == 200
@@ -147,13 +151,11 @@
 def test_what_the_old_process_had_out_when_it_died_goes_again(tmp_path: Path) -> None:
     async def scene(platform: Platform, folder: Path) -> None:
         gone = await target(platform, hang)
-        old = await first_on(folder, platform)
+        old = await first_on(folder, platform, patient=True)
         assert (await old.hand_in("m", "status"))[0] == 202
         await gone.got(1)
-        began = time.monotonic()
         await second(old)
-        if time.monotonic() - began < 1.5:  # it times out after two seconds, and then it may go again
-            assert len(gone.requests) == 1  # not while it is out
+        assert len(gone.requests) == 1  # not while it is out
         old.process.send_signal(signal.SIGKILL)
         await gone.got(2)
         assert ids(gone) == ["m", "m"]
