Refuse who asks while the engine still stills for another, or has given all away

A new process that went while the old one waited for its disk (level power), as it does itself after 2 s, left the old one standing still for nobody; the next to ask was let in. The first one's end then let the engine go on while the second was told what it knew: what it took on and sent from then on the second would not have known. One that asked in the moment after the new process's end was told of an engine that had given all away. Without it both tests fail: assert [] == [{'no': True}]. With it 5 passed.

--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -50,7 +50,7 @@
     """The side of the process that serves, until another one asks for what it holds."""
 
     def __init__(self, engine: Giver) -> None:
-        self.engine, self.given, self.stood = engine, False, False
+        self.engine, self.given, self.stood = engine, False, True
         self.link: Link | None = None
         self.listener: asyncio.Server | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -94,8 +94,8 @@
             self.engine.call_off(*line["cancel"])
 
     def ask(self, link: Link) -> None:
-        if self.link is not None:
-            self.refuse(link)
+        if self.link is not None or self.given or not self.stood:
+            self.refuse(link)  # also while the engine still stands still for one that has gone meanwhile
             return
         self.link = link
         self.stood = False
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -113,3 +113,89 @@
         assert engine.told == ["m", ("m", i.Outcome.DELIVERED), "alone"]
         assert engine.left == ["m"] and not successor.proxies
     asyncio.run(scene())
+
+
+class Giver:
+    """An engine that serves, and stands still when the test says so."""
+
+    def __init__(self) -> None:
+        self.holds: list[Any] = []
+        self.held = self.resumed = self.gave = 0
+        self.predecessor = Predecessor(self)
+
+    def hold(self, then: Any) -> None:
+        self.holds.append(then)
+
+    def stands(self) -> None:
+        self.held += 1
+        self.holds.pop(0)({"module": {}})
+
+    def resume(self) -> None:
+        self.resumed += 1
+
+    def give(self) -> None:
+        self.gave += 1
+        self.predecessor.yours()
+
+    def bereft(self) -> None:
+        pass
+
+    def call_off(self, message: str, attempt: int) -> None:
+        pass
+
+    def reread(self) -> None:
+        pass
+
+
+async def asks(giver: Giver) -> tuple[Link, list[Any]]:
+    """Another process comes and asks; what it is told goes into the list."""
+    said: list[Any] = []
+    mine, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+    mine.setblocking(False)
+    theirs.setblocking(False)
+    loop = asyncio.get_running_loop()
+    other = Link(lambda link, line: said.append(line), lambda link: said.append("gone"))
+    await loop.create_connection(lambda: Link(giver.predecessor.heard, giver.predecessor.lost), sock=mine)
+    await loop.create_connection(lambda: other, sock=theirs)
+    other.send(ask=True)
+    return other, said
+
+
+def test_one_that_asks_while_the_engine_stills_for_another_that_has_gone_is_refused() -> None:
+    """The first one's end let the engine go on, with the second told what it knew: both would have sent."""
+    async def scene() -> None:
+        giver = Giver()
+        first, _ = await asks(giver)
+        await until(lambda: giver.holds)
+        first.close()  # it dies, or waits no longer, while a slow disk still syncs
+        await until(lambda: giver.predecessor.link is None)
+        second, said = await asks(giver)
+        await until(lambda: said or len(giver.holds) > 1)
+        assert said[:1] == [{"no": True}] and len(giver.holds) == 1
+        giver.stands()
+        assert giver.resumed == 1 and giver.predecessor.link is None
+        third, heard = await asks(giver)
+        await until(lambda: giver.holds)
+        giver.stands()
+        await until(lambda: heard)
+        assert "memory" in heard[0] and giver.resumed == 1
+        third.send(prepared=True)
+        await until(lambda: giver.gave)
+    asyncio.run(scene())
+
+
+def test_process_that_has_given_all_away_gives_nothing_a_second_time() -> None:
+    """The new one goes, and the next asks before the old one has begun again from the journal."""
+    async def scene() -> None:
+        giver = Giver()
+        first, said = await asks(giver)
+        await until(lambda: giver.holds)
+        giver.stands()
+        first.send(prepared=True)
+        await until(lambda: giver.gave)
+        first.close()
+        await until(lambda: giver.predecessor.link is None)
+        _, heard = await asks(giver)
+        await until(lambda: heard or giver.holds)
+        assert heard[:1] == [{"no": True}] and not giver.holds and giver.gave == 1
+    asyncio.run(scene())
