Wait for the old process's yes as long as it lives, so that giving up cannot cross it

The new process gave up 2 s after it had said that it was prepared. The old process always tells: its yes, the end of the talk after 1.5 s, or its death.

--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -27,7 +27,7 @@
 __all__ = ["Line", "Link", "Lock", "Predecessor", "Proxy", "Successor", "claim"]
 SOCKET = "handover"
 HOLD_S = 1.5  # a new process that takes longer to read the journal is not waited for: clients are
-ASK_S = 2.0  # how long the old process may take to give its answer
+ASK_S = 2.0  # how long the old process may take to stand still
 log = logging.getLogger("lemonshunt.handover")
 
 
@@ -232,10 +232,11 @@
         return await self.request("ask", ASK_S)
 
     async def prepared(self) -> bool:
-        """Whether all is this process's from now on."""
-        return await self.request("prepared", ASK_S)
+        """Whether all is this process's from now on. The old one says so, ends the talk, or dies: to give up
+        before might cross its yes, and then each would leave all to the other."""
+        return await self.request("prepared", None)
 
-    async def request(self, word: str, patience_s: float) -> bool:
+    async def request(self, word: str, patience_s: float | None) -> bool:
         if self.over:
             return False
         self.turn = asyncio.get_running_loop().create_future()
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import socket
+from pathlib import Path
 from typing import Any
 
+import pytest
+
 from lemonshunt import interface as i
 from lemonshunt.net.handover import Predecessor, Successor
 from lemonshunt.net.link import Link
@@ -199,3 +202,37 @@
         await until(lambda: heard or giver.holds)
         assert heard[:1] == [{"no": True}] and not giver.holds and giver.gave == 1
     asyncio.run(scene())
+
+
+async def late_yes(folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lemonshunt.net.handover.ASK_S", 0.2)
+    giver = Giver()
+    gate = asyncio.Event()
+    give = giver.give
+
+    async def late() -> None:
+        await gate.wait()
+        give()
+
+    tasks: list[asyncio.Task[None]] = []
+    giver.give = lambda: tasks.append(asyncio.create_task(late()))  # type: ignore[method-assign]
+    await giver.predecessor.listen(folder)
+    successor = Successor()
+    asked = asyncio.create_task(successor.ask(folder))
+    await until(lambda: giver.holds)
+    giver.stands()
+    assert await asked
+    prepared = asyncio.create_task(successor.prepared())
+    await until(lambda: tasks)
+    done, _ = await asyncio.wait({prepared}, timeout=0.4)  # twice as long as it was waited for
+    assert not done
+    gate.set()
+    assert await prepared and giver.predecessor.link is not None
+    giver.predecessor.close()
+
+
+def test_yes_of_an_old_process_that_is_slow_to_give_is_waited_for(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It used to be given up after 2 s, in which the old one may have given: both then began anew, and the
+    old one could take all back."""
+    asyncio.run(late_yes(tmp_path, monkeypatch))
