Answer an operator's call that was on its way to a new process that died

Each call is owed its answer within 1 s; one passed on by the old process waited for ever for the dead one's. Now it hears 503. Without it: assert [] == [503].

--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -137,6 +137,9 @@
             return
         if self.given:
             self.link = None
+            rotations, self.rotations = self.rotations, {}
+            for answer in rotations.values():
+                answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
             self.engine.bereft()
         else:
             self.abort()
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -236,3 +236,17 @@
     """It used to be given up after 2 s, in which the old one may have given: both then began anew, and the
     old one could take all back."""
     asyncio.run(late_yes(tmp_path, monkeypatch))
+
+
+def test_operators_call_on_its_way_is_answered_when_the_new_process_dies() -> None:
+    async def scene() -> None:
+        predecessor = Predecessor(Giver())
+        predecessor.link, predecessor.given = Link(predecessor.heard, predecessor.lost), True
+        theirs = await linked(predecessor.link)
+        said: list[int] = []
+        predecessor.rotate("s1", True, lambda status, text: said.append(int(status)))
+        assert theirs.recv(1000) == b'{"rotate":[1,"s1",true]}\n' and not said
+        theirs.close()
+        await until(lambda: predecessor.link is None)
+        assert said == [503]
+    asyncio.run(scene())
