Refuse to hand over at once while the disk fails, with nothing cut for it

The old process stood still first and refused after: it cut what was being dialed, its watch and its posts, each time that a new process asked, every 50 ms. Each cut costs an attempt, so a message taken on was given up unsent within 0.3 s of a full disk and a second start. Without it: assert [] == [1] (the attempts of the payment held: it was given up). With it 8 passed.

--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -13,8 +13,9 @@
 
     def hold(self, then: Callable[[Line | None], None]) -> None:
         """A new process asks for all: stand still, with everything in the journal, and tell what that lacks.
-        None where it cannot be had now."""
-        if not self.serving or self.leaving_s or self.remote or self.lock is None:
+        None where it cannot be had now. While the disk fails it cannot: who asks again and again must not cut
+        what is being dialed, the watch and the posts each time."""
+        if not self.serving or self.leaving_s or self.remote or self.lock is None or self.store.failed:
             then(None)
             return
         self.recall()
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -4,14 +4,21 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from lemonshunt import interface as i
+from lemonshunt.net.client import Pool
+from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.engine import Engine
 from lemonshunt.net.handover import Predecessor, Successor
 from lemonshunt.net.link import Link
+from lemonshunt.net.lock import Lock
+from lemonshunt.wirehost import settings
+from tests.sockets import OK, SETTINGS, Answer, Client, Peer, Platform, always
 
 WORD = b'{"ended":["m",0,1,"delivered",5,true,0,null,false]}\n'
 
@@ -250,3 +257,101 @@
         await until(lambda: predecessor.link is None)
         assert said == [503]
     asyncio.run(scene())
+
+
+# Real engines in this process: the old one, and a new one or the test in its place
+
+
+class Old:
+    """An engine that serves on loopback sockets, as the program starts it."""
+
+    def __init__(self, folder: Path, platform: Platform, **more: Any) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        listing = platform.listing()
+        known = HostList(listing["seq"], True, tuple(host(raw) for raw in listing["hosts"]))
+        listen, discovery = Address("127.0.0.1", self.port), Address("127.0.0.1", platform.port)
+        self.config = Config("n0", listen, discovery, folder, 5, 192, 256, 3_000_000, known,
+                             settings(SETTINGS), ("x0", "x1"), inherited=self.listener.fileno(), **more)
+        self.lock = Lock(folder)
+        self.task: asyncio.Task[bool] | None = None
+
+    async def start(self, successor: Successor | None = None) -> Engine:
+        if successor is None:
+            assert self.lock.take()
+        self.engine = Engine(self.config, self.lock, successor)
+        self.task = asyncio.create_task(self.engine.run())
+        await until(lambda: self.engine.serving)
+        return self.engine
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def end(self) -> None:
+        if self.task is not None:
+            self.engine.done.set()
+            await self.task
+        self.engine.predecessor.close()
+        await self.engine.server.close()
+        self.lock.release()
+        self.listener.close()
+
+
+def play(scene: Callable[[Platform, Path, list[Old]], Awaitable[None]], folder: Path) -> None:
+    async def run() -> None:
+        platform = Platform()
+        await platform.start()
+        olds: list[Old] = []
+        try:
+            await scene(platform, folder, olds)
+        finally:
+            for old in reversed(olds):
+                await old.end()
+    asyncio.run(run())
+
+
+async def target(platform: Platform, handler: Any, name: str = "s1", **more: Any) -> Peer:
+    peer = await Peer(handler).start()
+    platform.host(name, peer.port, **more)
+    return peer
+
+
+def gated(gate: asyncio.Event, answer: Answer = OK) -> Any:
+    async def handler(request: Any) -> Answer:
+        await gate.wait()
+        return answer
+    return handler
+
+
+def test_new_process_that_asks_while_the_disk_fails_costs_no_attempt(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It asks every 50 ms: each time what was being dialed was cut, until the message had no attempt left."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        peer = await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        gate, dialed = asyncio.Event(), asyncio.Event()
+        dial = Pool.dial
+
+        async def slow(pool: Pool, call: Any, where: Address) -> None:
+            dialed.set()
+            await gate.wait()
+            await dial(pool, call, where)
+
+        monkeypatch.setattr(Pool, "dial", slow)
+        client = await old.client()
+        assert (await client.hand_in("m", "pay"))[0] == 202
+        await dialed.wait()
+        engine.store.log.failed, engine.store.log.retry_at = True, float("inf")
+        watch = engine.watch.task
+        for _ in range(8):
+            successor = Successor()
+            assert not await successor.ask(folder)
+            successor.link.close()
+            engine.round()  # what was cut goes again
+        assert [m.attempts for m in engine.store.messages.values()] == [1] and engine.watch.task is watch
+        gate.set()
+        await peer.got(1)
+        await until(lambda: not engine.store.messages)
+        assert len(peer.requests) == 1 and not engine.store.owed
+    play(scene, tmp_path)
