--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 from lemonshunt import interface as i
-from lemonshunt.net.desk import Desk, log
+from lemonshunt.journal.recovery import Unusable
+from lemonshunt.net.desk import AWAY_S, Desk, log
 from lemonshunt.net.handover import Line
+from lemonshunt.net.store import Store
 
 
 class Leaving(Desk):
@@ -86,6 +89,26 @@
             log.error("the new process is gone; starting again from the journal")
             self.again = True
             self.done.set()
+            return
+        log.error("the new process is gone, and this one ends; all stays in the journal")
+        self.answer_from_journal()
+
+    def answer_from_journal(self) -> None:
+        """No engine comes after this one here: who waits for an answer gets it before the process ends."""
+        doors, self.predecessor.doors = self.predecessor.doors, {}
+        if not doors:
+            return
+        try:
+            kept = Store(self.config.state, self.config.disk_bytes, write=False)
+            known = kept.messages.keys() | kept.owed.keys()
+        except (OSError, Unusable) as error:
+            log.error("the journal cannot be read: %s", error)
+            known = set()
+        for name, door in doors.values():
+            if name in known:
+                door.answer(HTTPStatus.ACCEPTED)
+            else:
+                door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not taken on", Retry_After=AWAY_S)
 
     def call_off(self, message: str, attempt: int) -> None:
         self.pool.cancel(message, attempt)
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -18,8 +18,9 @@
 from lemonshunt.net.handover import Predecessor, Successor
 from lemonshunt.net.link import Link
 from lemonshunt.net.lock import Lock
+from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
-from tests.sockets import OK, SETTINGS, Answer, Client, Peer, Platform, always
+from tests.sockets import OK, SETTINGS, Answer, Client, Peer, Platform, always, message
 
 WORD = b'{"ended":["m",0,1,"delivered",5,true,0,null,false]}\n'
 
@@ -385,3 +386,31 @@
             now[0] += 0.1
         assert giver.resumed == 3
     asyncio.run(scene())
+
+
+def test_clients_of_an_ending_old_process_are_answered_when_the_new_one_dies(tmp_path: Path) -> None:
+    """Nobody answered them: the old process had given all away, and ended with their connections open."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        first, second = await old.client(), await old.client()
+        successor = Successor()  # the new process, as far as the test lets it come
+        assert await successor.ask(folder) and await successor.prepared()
+        engine.stop()
+        for client, name in ((first, "taken"), (second, "lost")):
+            client.writer.write(message(name, "pay"))
+        await until(lambda: len(successor.early) == 2)
+        lock = Lock(folder)
+        assert lock.take()
+        kept = Store(folder, 3_000_000)
+        kept.take(Taken("taken", "pay", 7, 10**16, None, "acme", b""))
+        kept.flush()
+        kept.let_go()  # it is in the journal, and the new process dies before it says so
+        assert successor.link.transport is not None
+        successor.link.transport.abort()
+        lock.release()
+        assert (await first.answer())[0] == 202
+        assert (await second.answer())[0] == 503
+        assert old.task is not None and not await old.task  # it ends, and does not begin anew
+    play(scene, tmp_path)
