Tell the new process of calls that end while the old one syncs its last round

Under the level power the old process stands still before its last sync has ended. A call that ended in between was journaled and left out of what the new one is told, though its module had not been told of it either: a wait and a rest told by its answer, and what it taught, were lost, and the target was called again within the wait. It now counts as a call that is still out, and its outcome follows at once. The records of such ends wait for their own sync as well, so that no new file of the old process can take the new one's place.

--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -26,27 +26,32 @@
         self.holding = True
         self.watch.pause()
         self.notices.pause()
-        self.store.commit(lambda ok: then(self.held()))
+        self.store.commit(lambda ok: self.still(then))
 
-    def held(self) -> Line | None:
-        """All that was decided has left."""
+    def still(self, then: Callable[[Line | None], None]) -> None:
+        """All that was decided has left. What has ended since is journaled, and that must have its end too:
+        the new process reads the file, and a sync under way might put another in its place."""
         self.pool.cut_dials()
         if self.fleet is not None:
             self.fleet.pause()
         for event in self.events:
             if isinstance(event, i.Ended):
                 self.book(event)
-        self.store.flush()
+        self.store.commit(lambda ok: then(self.held()))
+
+    def held(self) -> Line | None:
         if self.store.failed:
             return None
         log.info("a new process takes over: %d messages held, %d calls out",
                  len(self.store.messages), self.pool.out)
         now = self.clock()
+        # The module has not been told of these: its successor is, as of calls that end later.
+        ended = {(e.message, e.attempt) for e in self.events if isinstance(e, i.Ended)}
         return {
             "numbers": self.numbers, "numbered": self.numbered, "recent": list(self.recent),
             "waits": [[*place, until] for place, until in self.pool.waits.items() if until > now],
             "descriptors": len(self.server.connections) + self.pool.out,
-            "module": self.dispatcher.memory(self.pool.calls.keys()),
+            "module": self.dispatcher.memory(self.pool.calls.keys() | ended),
         }
 
     def resume(self) -> None:
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -20,6 +20,7 @@
 from lemonshunt.net.lock import Lock
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
+from tests.disk import Hands
 from tests.sockets import OK, SETTINGS, Answer, Client, Peer, Platform, always, message
 
 WORD = b'{"ended":["m",0,1,"delivered",5,true,0,null,false]}\n'
@@ -414,3 +415,56 @@
         assert (await second.answer())[0] == 503
         assert old.task is not None and not await old.task  # it ends, and does not begin anew
     play(scene, tmp_path)
+
+
+def test_wait_told_while_the_old_process_syncs_its_last_round_binds_the_new_one(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Under `power`. The outcome was journaled, but its wait and what it taught of the target reached neither
+    process's module: the new one called again at once."""
+    hands = Hands()
+    monkeypatch.setattr("lemonshunt.net.engine.sync_thread", lambda: hands)
+
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        gate, works = asyncio.Event(), asyncio.Event()
+
+        async def pump() -> None:
+            while True:
+                await works.wait()
+                hands.work()
+                await asyncio.sleep(0)
+
+        pumping = asyncio.create_task(pump())
+        works.set()
+        peer = await target(platform, gated(gate, Answer(429, {"X-RateLimit-Wait-Ms": "40000"})))
+        await target(platform, gated(asyncio.Event()), "s2", block=8)
+        olds.append(old := Old(folder, platform, power=True))
+        engine = await old.start()
+        client, other = await old.client(), await old.client()
+        assert (await client.hand_in("m"))[0] == 202
+        await peer.got(1)
+        works.clear()
+        other.writer.write(message("n", dest=8))
+        await until(lambda: "n" in engine.store.messages or "n" in engine.arriving)
+        successor = Successor()
+        asked = asyncio.create_task(successor.ask(folder))
+        await until(lambda: engine.holding)
+        gate.set()  # the answer comes while the disk syncs
+        await until(lambda: ("m", 0) not in engine.pool.calls)
+        works.set()
+        assert await asked and (await other.answer())[0] == 202
+        olds.append(new := Old(folder, platform, power=True))
+        taken = await new.start(successor)
+        await until(lambda: not [name for name, _ in taken.remote if name == "m"])
+        taken.round()
+        place = taken.dispatcher.places[(7, -1)]
+        assert place.wait_until > taken.clock() and taken.dispatcher.messages["m"].out == 0
+        assert len(peer.requests) == 1 and taken.store.messages["m"].attempts == 1
+        works.clear()
+        while hands.work():
+            pass
+        works.set()
+        for each in reversed(olds):
+            await each.end()
+        olds.clear()
+        pumping.cancel()
+    play(scene, tmp_path)
