Let the old process's door follow SIGHUP too once all is the new one's

A SIGHUP at the old process was passed on, but its own door kept the old settings: each connection still open there is asked once more, and a class of the new file was answered 404. Without it: assert ['reload'] == ['reload', 'hand_in'].

--- a/lemonshunt/net/handover.py
+++ b/lemonshunt/net/handover.py
@@ -47,6 +47,8 @@
 
         def call_off(self, message: str, attempt: int) -> None: ...
 
+        def reread(self) -> None: ...
+
 
 class Predecessor:
     """The side of the process that serves, until another one asks for what it holds."""
@@ -185,6 +187,7 @@
 
     def reload(self) -> None:
         """SIGHUP came here, but the settings are the new process's now."""
+        self.engine.reread()
         if self.link is not None:
             self.link.send(reload=True)
 
--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
 from http import HTTPStatus
 
 from lemonshunt import interface as i
 from lemonshunt.journal.recovery import Unusable
+from lemonshunt.net.config import ConfigError, replacement
 from lemonshunt.net.desk import AWAY_S, Desk, log
 from lemonshunt.net.handover import Line
 from lemonshunt.net.store import Store
@@ -115,6 +118,11 @@
             else:
                 door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not taken on", Retry_After=AWAY_S)
 
+    def reread(self) -> None:
+        """SIGHUP when all is the new process's: the doors that are still here go by the same file."""
+        with suppress(ConfigError):  # the new process counts it and says what is wrong
+            self.server.settings = replace(replacement(self.config).settings, ends_told=True)
+
     def call_off(self, message: str, attempt: int) -> None:
         self.pool.cancel(message, attempt)
 
--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -22,6 +23,7 @@
 from lemonshunt.wirehost import settings
 from tests.disk import Hands
 from tests.sockets import OK, SETTINGS, Answer, Client, Peer, Platform, always, message
+from tests.test_operate import classes
 
 WORD = b'{"ended":["m",0,1,"delivered",5,true,0,null,false]}\n'
 
@@ -89,6 +91,9 @@
             def bereft(self) -> None:
                 self.bereft_with = dict(predecessor.doors)
 
+            def reread(self) -> None:
+                pass
+
         class Door:
             left: Any = None
             said: list[int] = []
@@ -468,3 +473,30 @@
         olds.clear()
         pumping.cancel()
     play(scene, tmp_path)
+
+
+def test_new_class_is_known_at_the_old_process_s_door_after_sighup(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its kept connections are asked once more each; a class of the new file was answered 404 there."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        client = await old.client()
+        assert (await client.hand_in("before", "status"))[0] == 202
+        await until(lambda: not engine.store.messages)
+        successor = Successor()
+        assert await successor.ask(folder) and await successor.prepared()
+        told = replace(engine.config, settings=settings(classes(fresh={})))
+        monkeypatch.setattr("lemonshunt.net.leaving.replacement", lambda config: told)
+        engine.reload()
+        client.writer.write(message("m", "fresh"))
+        answered = asyncio.create_task(client.answer())
+        await until(lambda: len(successor.early) == 2 or answered.done())
+        assert [next(iter(line)) for line in successor.early] == ["reload", "hand_in"]
+        assert successor.early[1]["hand_in"][1]["class_name"] == "fresh"
+        answered.cancel()
+        assert successor.link.transport is not None
+        successor.link.transport.abort()
+        assert old.task is not None and await old.task  # it begins again from the journal
+    play(scene, tmp_path)
