Force what comes between hold and give, and SIGTERM there, by tests; the code was right

A request and a drain while all stands still, a client that leaves in the turn of the give, SIGTERM at the old process there, and the repeat window of a call told late.

--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -500,3 +500,100 @@
         successor.link.transport.abort()
         assert old.task is not None and await old.task  # it begins again from the journal
     play(scene, tmp_path)
+
+
+def test_what_comes_while_all_stands_still_goes_on_at_the_new_process(tmp_path: Path) -> None:
+    """Between hold and give: a request, one whose client leaves, and a drain that the old one never heard."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        drained, up = await target(platform, always(OK)), await target(platform, always(OK), "s2")
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        stays, goes = await old.client(), await old.client()
+        successor = Successor()
+        assert await successor.ask(folder) and engine.holding
+        stays.writer.write(message("m", "pay"))
+        goes.writer.write(message("n", "pay"))
+        await until(lambda: {"m", "n"} <= engine.arriving.keys())
+        goes.writer.close()
+        await until(lambda: "n" not in engine.arriving)
+        await platform.change("s1", "draining")
+        olds.append(new := Old(folder, platform))
+        taken = await new.start(successor)
+        status, headers = await stays.answer()
+        assert status == 202 and headers["connection"] == "close"
+        await up.got(1)
+        await until(lambda: not taken.store.messages)
+        assert not drained.requests and [r.headers["x-correlation-id"] for r in up.requests] == ["m"]
+    play(scene, tmp_path)
+
+
+def test_client_that_leaves_in_the_turn_of_the_give_has_handed_nothing_over(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        peer = await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        client, other = await old.client(), await old.client()
+        successor = Successor()
+        assert await successor.ask(folder)
+        client.writer.write(message("n", "pay"))
+        other.writer.write(message("m", "pay"))
+        await until(lambda: len(engine.arriving) == 2)
+        assert await successor.prepared()
+        await until(lambda: len(successor.early) == 2)
+        client.writer.close()  # before the new one has an engine to take it
+        await until(lambda: len(successor.early) == 3)
+        olds.append(new := Old(folder, platform))
+        new.lock.take()
+        taken = new.engine = Engine(new.config, new.lock, None)
+        successor.attach(taken)
+        taken.round()
+        assert list(taken.store.messages) == ["m"] and (await other.answer())[0] == 202
+        taken.store.close()
+        assert not peer.requests
+        olds.remove(new)
+        new.lock.release()
+        new.listener.close()
+    play(scene, tmp_path)
+
+
+def test_sigterm_at_the_old_process_while_it_stands_still_ends_the_talk(tmp_path: Path) -> None:
+    """It goes on as if not asked, answers, and refuses who asks again; the new one waits for its journal."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        peer = await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        client = await old.client()
+        successor = Successor()
+        assert await successor.ask(folder) and engine.holding
+        client.writer.write(message("m", "pay"))
+        await until(lambda: "m" in engine.arriving)
+        engine.stop()
+        assert not engine.holding and not await successor.prepared()
+        assert (await client.answer())[0] == 202
+        await peer.got(1)
+        again = Successor()
+        assert not await again.ask(folder) and not Lock(folder).take()
+        again.link.close()
+        assert old.task is not None and not await old.task and len(peer.requests) == 1
+    play(scene, tmp_path)
+
+
+def test_repeat_window_of_a_call_out_at_the_old_process_counts_from_its_first_byte(tmp_path: Path) -> None:
+    """Told late and as cut, it may have run when it was sent, and not when the hand-over was."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        peer = await target(platform, gated(asyncio.Event()))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        assert (await (await old.client()).hand_in("m"))[0] == 202
+        await peer.got(1)
+        sent_at = engine.store.messages["m"].out[0][0]
+        successor = Successor()
+        assert await successor.ask(folder)
+        olds.append(new := Old(folder, platform))
+        taken = await new.start(successor)
+        assert taken.remote[("m", 0)][1] == sent_at
+        assert taken.dispatcher.attempts[("m", 0)].call.sent_at == sent_at
+        engine.predecessor.close()  # as its death does
+        await peer.got(2)  # its window holds still
+        assert taken.dispatcher.messages["m"].ran_at == taken.store.messages["m"].ran_at_us == sent_at
+    play(scene, tmp_path)
