--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -597,3 +597,49 @@
         await peer.got(2)  # its window holds still
         assert taken.dispatcher.messages["m"].ran_at == taken.store.messages["m"].ran_at_us == sent_at
     play(scene, tmp_path)
+
+
+def test_operators_call_during_the_hold_takes_effect_at_the_new_process(tmp_path: Path) -> None:
+    """It was told to the new one before that counted itself as serving, and turned away with 503."""
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        await target(platform, always(OK))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        successor = Successor()
+        assert await successor.ask(folder) and engine.holding
+        said: list[int] = []
+        engine.rotate("s1", True, lambda status, text: said.append(int(status)))
+        assert not said
+        olds.append(new := Old(folder, platform))
+        taken = await new.start(successor)
+        await until(lambda: said)
+        assert said == [200] and list(taken.store.detached) == ["s1"]
+    play(scene, tmp_path)
+
+
+def test_sigterm_at_both_waits_at_the_new_one_for_what_the_old_one_has_out(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The new one had no call of its own out and ended: the old one's outcome had nobody to be told to."""
+    monkeypatch.setattr("lemonshunt.net.stopping.LISTEN_S", 0.05)
+    monkeypatch.setattr("lemonshunt.net.stopping.FREEZE_S", 0.05)
+    monkeypatch.setattr("lemonshunt.net.stopping.EXIT_S", 15.0)
+
+    async def scene(platform: Platform, folder: Path, olds: list[Old]) -> None:
+        gate = asyncio.Event()
+        peer = await target(platform, gated(gate))
+        olds.append(old := Old(folder, platform))
+        engine = await old.start()
+        assert (await (await old.client()).hand_in("m", "pay"))[0] == 202
+        await peer.got(1)
+        successor = Successor()
+        assert await successor.ask(folder)
+        olds.append(new := Old(folder, platform))
+        taken = await new.start(successor)
+        taken.stop()
+        engine.stop()
+        await until(lambda: taken.frozen)
+        await asyncio.sleep(0.2)  # some steps of its stopping; right code waits here however long it is
+        gate.set()
+        assert new.task is not None and not await new.task
+        assert not Store(folder, 3_000_000, write=False).messages  # delivered, and known to be
+    play(scene, tmp_path)
