Let each newcomer of a burst make room by a connection of its own

Cause: a connection that is aborted to make room stays among the server's connections until the loop's next turn. All accepts of one turn (8) picked the same one, so that a burst overshot the bound by 7 in each turn without an end, up to EMFILE, after which asyncio accepts nothing for 1 s. Change: what is aborted for room is no longer counted from that moment. Measured: 120 connections against a bound of 5 held 108 descriptors without the mend (assert (246 - 138) <= (5 + (4 * 8))); with it the test passes.

--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -132,6 +132,9 @@
             spare = [c for c in self.connections if c is not connection and (c.broken or c.idle())]
             first = min(spare, key=lambda c: (not c.broken, c.requests > 0, c.used_us), default=connection)
             first.abort()
+            # Its descriptor is closed in the loop's next turn: counted till then, it would be picked again
+            # by each other that joins in this one, and none of them would make room.
+            self.connections.discard(first)
 
     def linger(self, connection: ClientConnection) -> None:
         """Close in a while: the client may read meanwhile what it did wrong. A flood shortens that."""
