Let half requests make room for who comes with whole ones

Cause: to make room only refused and idle connections could go. Where half requests held all, each newcomer was the one that was closed, /up and hand-ins with it, for 2.2 s and again by the next flood; where a few resting clients were left, these went first. Change: of the connections that wait for no answer those go first that were refused, then those that never came to the end of a request, by when they came; then the resting ones, and last those in the middle of a later request.

--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -125,17 +125,26 @@
         loop.call_later(SWEEP_S, self.sweep)
 
     def joined(self, connection: ClientConnection) -> None:
-        """Bound the sockets. Those go first that were refused already, then those that never asked anything,
-        so that a silent flood does not push out who comes with requests; then the one idle longest."""
+        """Bound the sockets. Who waits for an answer stays; of the others the first by `rank` goes."""
         self.connections.add(connection)
         if len(self.connections) > self.most:
-            spare = [c for c in self.connections if c is not connection and (c.broken or c.idle())]
-            first = min(spare, key=lambda c: (not c.broken, c.requests > 0, c.used_us), default=connection)
+            spare = (c for c in self.connections if c is not connection and c.busy is None and not c.waiting)
+            first = min(spare, key=self.rank, default=connection)
             first.abort()
             # Its descriptor is closed in the loop's next turn: counted till then, it would be picked again
             # by each other that joins in this one, and none of them would make room.
             self.connections.discard(first)
 
+    def rank(self, connection: ClientConnection) -> tuple[int, int]:
+        """Who makes room first: those that were refused already, then those that never came to the end of a
+        request, by when they came, so that neither silence nor half requests without end push out who comes
+        with whole ones; then the one idle longest, and at last those in the middle of a later request."""
+        if connection.broken:
+            return 0, connection.used_us
+        if not connection.requests:
+            return 1, connection.came_us
+        return (2 if connection.idle() else 3), connection.used_us
+
     def linger(self, connection: ClientConnection) -> None:
         """Close in a while: the client may read meanwhile what it did wrong. A flood shortens that."""
         connection.until_us = self.clock() + int(LINGER_S * 1_000_000)
