Let go of a client that asks on and on and reads no answer

Cause: answers were written whatever the client took. Change: before a request is handled, a connection with more than 64 KiB of untaken answers is aborted. Clients send one request at a time, so theirs have one answer waiting. Measured: without the mend the buffer reached 4.3 MB, where the test stops (assert 4287424 <= (2 * 65536)); with it the test passes.

--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -26,6 +26,7 @@
 IDLE_US = 10_000_000  # as is one on which nothing has been asked for so long
 SWEEP_S = 0.2
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
+MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
 BIND_TRIES, BIND_PAUSE_S = 100, 0.05
 ACCEPTS = 8  # connections taken at a time: room is made for these before more are taken
 TIME_LEFT = re.compile(r"-?[0-9]{1,9}(\.[0-9]{0,9})?", re.ASCII)  # float() reads more: nan, 1e9, 1_0
@@ -184,6 +185,9 @@
         return stood >= FIRST_US and now - connection.came_us >= STALLED_US
 
     def handle(self, connection: ClientConnection, request: Request) -> None:
+        if connection.transport is not None and connection.transport.get_write_buffer_size() > MOST_UNREAD:
+            connection.abort()  # it asks on and on and reads nothing: its answers would fill the memory
+            return
         if request.bad is not None:
             connection.answer(request.bad.status, request.bad.text)
         elif request.path.partition("?")[0] == "/up":
--- a/tests/test_crossing_door.py
+++ b/tests/test_crossing_door.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from http import HTTPStatus
 
 import pytest
 
 from lemonshunt.net import server as door
 from lemonshunt.net.client_connection import ClientConnection
-from lemonshunt.net.server import Asker, Handed, Server
+from lemonshunt.net.server import MOST_UNREAD, Asker, Handed, Server
 from lemonshunt.wirehost import settings
-from tests.sockets import PATIENCE, SETTINGS
+from tests.sockets import PATIENCE, SETTINGS, message
 
 OWED_US = 3_000_000  # TERMS, Connections: an error or a close within 3 s of connecting
 SWEEP_US = int(door.SWEEP_S * 1_000_000)
@@ -114,3 +116,43 @@
         assert not server.taken
         writer.close()
     play(scene, monkeypatch)
+
+
+def test_a_client_that_asks_without_end_and_reads_nothing_is_let_go_before_its_answers_pile_up(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each request is answered, and none of the answers is taken: what waits for it stays bounded, and its
+    connection ends."""
+    async def scene(server: Door) -> None:
+        _, _, other = await server.connect()
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, ("127.0.0.1", server.port()))
+            await server.until(lambda: len(server.connections) == 2)
+            side = next(iter(server.connections - {other}))
+            most = 0
+            async with asyncio.timeout(PATIENCE):
+                asked = 1000 * b"GET /no HTTP/1.1\r\nHost: x\r\n\r\n"
+                while side.transport is not None and most < 64 * MOST_UNREAD:
+                    with suppress(ConnectionError, TimeoutError):
+                        await asyncio.wait_for(loop.sock_sendall(sock, asked), 0.1)
+                    if side.transport is not None:
+                        most = max(most, side.transport.get_write_buffer_size())
+        assert most <= 2 * MOST_UNREAD
+        assert other.open()
+    play(scene, monkeypatch)
+
+
+def test_who_reads_late_still_has_all_its_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Some requests at once, as no client should send them: each has its answer, in order."""
+    async def scene(server: Door) -> None:
+        reader, writer, _ = await server.connect()
+        writer.write(b"".join(message(f"m{n}") for n in range(40)))
+        await server.until(lambda: len(server.taken) == 40)
+        async with asyncio.timeout(PATIENCE):
+            for _ in range(40):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 202")
+        assert server.taken == [f"m{n}" for n in range(40)]
+        writer.close()
+    play(scene, monkeypatch)
