Refuse two destinations in one message; force bad input at the door by tests

Cause: of two dest in X-Addressing the last was taken, so that two readers of one message could send it to two places. Change: exactly one dest is wanted. Tests for spoilt framing, whole but wrong requests, pipelines behind a spoilt request, peers that go on sending behind their error and peers that send much and go.

--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -75,8 +75,8 @@
     if left is None or left * 1_000_000 > LATEST * cls.deadline_us:
         raise BadRequest(bad, "X-Time-Left is missing, malformed or too long")
     extras = h.get("x-addressing", "").replace(",", ";").split(";")
-    parts = dict(part.strip().partition("=")[::2] for part in extras)
-    dest = parts.get("dest", "")
+    named = [value for name, _, value in (part.strip().partition("=") for part in extras) if name == "dest"]
+    dest = named[0] if len(named) == 1 else ""
     if not dest.isascii() or not dest.isdigit() or len(dest) > 10:
         raise BadRequest(bad, "X-Addressing names no destination")
     key = h.get("idempotency-key")
--- a/tests/test_crossing_door.py
+++ b/tests/test_crossing_door.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import socket
+import struct
+from asyncio.trsock import TransportSocket
+from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from http import HTTPStatus
@@ -123,14 +126,14 @@
     """Each request is answered, and none of the answers is taken: what waits for it stays bounded, and its
     connection ends."""
     async def scene(server: Door) -> None:
-        _, _, other = await server.connect()
+        kept = await server.connect()
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             sock.setblocking(False)
             loop = asyncio.get_running_loop()
             await loop.sock_connect(sock, ("127.0.0.1", server.port()))
             await server.until(lambda: len(server.connections) == 2)
-            side = next(iter(server.connections - {other}))
+            side = next(iter(server.connections - {kept[2]}))
             most = 0
             async with asyncio.timeout(PATIENCE):
                 asked = 1000 * b"GET /no HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -140,7 +143,7 @@
                     if side.transport is not None:
                         most = max(most, side.transport.get_write_buffer_size())
         assert most <= 2 * MOST_UNREAD
-        assert other.open()
+        assert kept[2].open()
     play(scene, monkeypatch)
 
 
@@ -156,3 +159,270 @@
         assert server.taken == [f"m{n}" for n in range(40)]
         writer.close()
     play(scene, monkeypatch)
+
+
+CHUNKED, FIVE = b"Transfer-Encoding: chunked\r\n", b"Content-Length: 5\r\n"
+ONE_CHUNK = b"5\r\nhello\r\n0\r\n\r\n"
+
+
+def post(more: bytes = b"", body: bytes = b"hello", line: bytes = b"POST /order HTTP/1.1",
+         host: bytes = b"Host: origin.svc\r\n", account: bytes = b"acme", dest: bytes = b"dest=7") -> bytes:
+    """A message that is whole but for what a test spoils."""
+    return (line + b"\r\n" + host + b"X-Correlation-Id: bad\r\nX-Account: " + account
+            + b"\r\nX-Time-Left: 50\r\nIdempotency-Key: k\r\nX-Addressing: " + dest + b"\r\n" + more + b"\r\n"
+            + body)
+
+
+SPOILT = {
+    "both lengths": post(FIVE + CHUNKED, ONE_CHUNK),
+    "both lengths the other way": post(CHUNKED + FIVE, ONE_CHUNK),
+    "two lengths": post(FIVE + FIVE),
+    "two lengths that differ": post(FIVE + b"Content-Length: 6\r\n"),
+    "a list of lengths": post(b"Content-Length: 5, 5\r\n"),
+    "a length below 0": post(b"Content-Length: -5\r\n"),
+    "a signed length": post(b"Content-Length: +5\r\n"),
+    "a length in hexadecimal": post(b"Content-Length: 0x5\r\n"),
+    "a length that is empty": post(b"Content-Length: \r\n"),
+    "a length without end": post(b"Content-Length: " + b"9" * 200 + b"\r\n"),
+    "a length of 60 MB": post(b"Content-Length: 60000000\r\n"),
+    "two codings": post(CHUNKED + CHUNKED, ONE_CHUNK),
+    "another coding, then chunked": post(b"Transfer-Encoding: gzip\r\n" + CHUNKED, ONE_CHUNK),
+    "chunked, then another coding": post(CHUNKED + b"Transfer-Encoding: gzip\r\n", ONE_CHUNK),
+    "a list of codings": post(b"Transfer-Encoding: gzip, chunked\r\n", ONE_CHUNK),
+    "a coding by nearly the name": post(b"Transfer-Encoding: xchunked\r\n", ONE_CHUNK),
+    "a coding that is empty": post(b"Transfer-Encoding: \r\n" + FIVE),
+    "chunks in HTTP/1.0": post(CHUNKED, ONE_CHUNK, line=b"POST /order HTTP/1.0"),
+    "a chunk size of no digits": post(CHUNKED, b"zz\r\nhello\r\n0\r\n\r\n"),
+    "a chunk size below 0": post(CHUNKED, b"-5\r\nhello\r\n0\r\n\r\n"),
+    "a chunk size with 0x": post(CHUNKED, b"0x5\r\nhello\r\n0\r\n\r\n"),
+    "a chunk size that overflows": post(CHUNKED, b"f" * 40 + b"\r\nhello\r\n0\r\n\r\n"),
+    "a chunk size that is empty": post(CHUNKED, b"\r\nhello\r\n0\r\n\r\n"),
+    "a chunk longer than its size": post(CHUNKED, b"5\r\nhelloX0\r\n\r\n"),
+    "chunks with bare LF": post(CHUNKED, b"5\nhello\n0\n\n"),
+    "a length in a trailer": post(CHUNKED, b"5\r\nhello\r\n0\r\nContent-Length: 9\r\n\r\n"),
+    "a folded header": post(b"X-A: a\r\n b\r\n" + FIVE),
+    "bare LF throughout": post(FIVE).replace(b"\r\n", b"\n"),
+    "a bare LF in the head": post(b"X-A: a\n" + FIVE),
+    "a bare CR in the head": post(b"X-A: a\rX-B: b\r\n" + FIVE),
+    "a NUL in a value": post(b"X-A: a\0b\r\n" + FIVE),
+    "a NUL in a name": post(b"X\0A: a\r\n" + FIVE),
+    "a NUL in the path": post(FIVE, line=b"POST /order\0 HTTP/1.1"),
+    "a space before the colon": post(b"X-A : a\r\n" + FIVE),
+    "a header without a colon": post(b"XA\r\n" + FIVE),
+    "a header without a name": post(b": a\r\n" + FIVE),
+    "two hosts": post(b"Host: other\r\n" + FIVE),
+    "HTTP/0.9": post(FIVE, line=b"POST /order"),
+    "HTTP/2.0": post(FIVE, line=b"POST /order HTTP/2.0"),
+    "HTTP/1.2": post(FIVE, line=b"POST /order HTTP/1.2"),
+    "HTTP/3.0": post(FIVE, line=b"POST /order HTTP/3.0"),
+    "http/1.1": post(FIVE, line=b"POST /order http/1.1"),
+    "the preface of HTTP/2": b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    "TLS": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + bytes(32),
+    "noughts": bytes(200),
+    "CONNECT": post(FIVE, line=b"CONNECT origin.svc:80 HTTP/1.1"),
+    "another protocol": post(b"Connection: upgrade\r\nUpgrade: websocket\r\n" + FIVE),
+    "a path without its slash": post(FIVE, line=b"POST order HTTP/1.1"),
+    "a method in small letters": post(FIVE, line=b"post /order HTTP/1.1"),
+    "a method that is not known": post(FIVE, line=b"SEND /order HTTP/1.1"),
+    "a space before the method": b" " + post(FIVE),
+    "a path without end": post(FIVE, line=b"POST /order/" + 70_000 * b"a" + b" HTTP/1.1"),
+    "a header without end": post(b"X-A: " + 70_000 * b"a" + b"\r\n" + FIVE),
+    "a name without end": post(70_000 * b"X" + b": a\r\n" + FIVE),
+    "headers without end": post(b"".join(b"X-%d: a\r\n" % n for n in range(3000)) + FIVE),
+    "a body that is too large": post(b"Content-Length: 65537\r\n", 65537 * b"a"),
+    "chunks that are too large": post(CHUNKED, b"10001\r\n" + 65537 * b"a" + b"\r\n0\r\n\r\n"),
+    "trailers without end": post(CHUNKED, b"5\r\nhello\r\n0\r\n" + 6000 * b"X-A: a\r\n" + b"\r\n"),
+    "chunk extensions without end": post(CHUNKED, b"5;" + 2_000_000 * b"a" + b"\r\nhello\r\n0\r\n\r\n"),
+}
+
+
+WRONG = {
+    "two tenants": post(b"X-Account: acme\r\n" + FIVE, account=b"other"),
+    "two destinations": post(FIVE, dest=b"dest=7;dest=8"),
+    "an absolute form": post(FIVE, line=b"POST http://origin.svc/order HTTP/1.1"),
+    "an asterisk": post(FIVE, line=b"POST * HTTP/1.1"),
+    "two ids": post(b"X-Correlation-Id: other\r\n" + FIVE),
+    "two times": post(b"X-Time-Left: 5\r\n" + FIVE),
+    "two keys": post(b"Idempotency-Key: other\r\n" + FIVE),
+    "two marks": post(b"X-Repeat: again\r\nX-Repeat: 1\r\n" + FIVE),
+    "an unknown tenant": post(FIVE, account=b"nobody"),
+    "no destination": post(FIVE, dest=b"dest="),
+    "a destination that is no number": post(FIVE, dest=b"dest=7a"),
+    "another method": post(FIVE, line=b"PUT /order HTTP/1.1"),
+    "an unknown class": post(FIVE, line=b"POST /orders HTTP/1.1"),
+}
+
+
+@pytest.mark.parametrize("in_pieces", [False, True])
+def test_what_is_spoilt_has_an_error_at_once_and_nothing_of_it_or_behind_it_is_taken_on(
+        in_pieces: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whole and in two pieces that are read apart; behind each stands a good message that only who reads it
+    wrong would see. What was refused so ends its connection."""
+    async def scene(server: Door) -> None:
+        passed = {}
+        for name, data in SPOILT.items():
+            reader, writer, side = await server.connect()
+            if in_pieces:
+                half = data.find(b"HTTP/") + 3 or 1
+                writer.write(data[:half])
+                await server.until(lambda side=side: side.raw > 0 or side.broken)  # type: ignore[misc]
+                data = data[half:]
+            writer.write(data + message("behind"))
+            if (first := await first_line(reader)) and first[9:10] not in (b"4", b"5"):
+                passed[name] = first
+                side.abort()
+            await server.until(lambda side=side: server.told(side))  # type: ignore[misc]
+            writer.close()
+        assert not passed and not server.taken, f"{passed}, taken on: {server.taken}"
+        server.now += LINGER_US
+        server.sweep()
+        await server.until(lambda: not server.connections)
+    play(scene, monkeypatch, most=1000)
+
+
+def test_what_is_whole_and_wrong_has_an_error_at_once_and_is_not_taken_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where such a request ends is beyond doubt: its connection may go on, and a good message behind it is
+    one of its own."""
+    async def scene(server: Door) -> None:
+        passed = {}
+        for name, data in WRONG.items():
+            reader, writer, _ = await server.connect()
+            writer.write(data)
+            if (first := await first_line(reader))[9:10] != b"4":
+                passed[name] = first
+            writer.close()
+        assert not passed and not server.taken, f"{passed}, taken on: {server.taken}"
+    play(scene, monkeypatch, most=1000)
+
+
+async def first_line(reader: asyncio.StreamReader) -> bytes:
+    """Empty where the connection was closed: behind one that goes on sending, by a reset."""
+    with suppress(ConnectionError):
+        async with asyncio.timeout(PATIENCE):
+            return await reader.readline()
+    return b""
+
+
+class Holding(Door):
+    """A door at which messages wait for their answer until the test gives it."""
+
+    def take(self, handed: Handed, asker: Asker) -> None:
+        self.taken.append(handed.id)
+        self.askers.append(asker)
+
+    askers: list[Asker]
+
+
+def play_holding(scene: Callable[[Holding], Awaitable[None]], monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        monkeypatch.setattr(door, "SWEEP_S", 3600.0)
+        server = Holding()
+        server.askers = []
+        await server.listen("127.0.0.1", 0)
+        try:
+            await scene(server)
+        finally:
+            await server.close()
+    asyncio.run(run())
+
+
+def test_what_stands_behind_a_spoilt_request_is_not_read_and_what_stands_before_it_has_its_answer(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The spoilt one is read while the message before it waits for its answer: the answers come in order."""
+    async def scene(server: Holding) -> None:
+        reader, writer, side = await server.connect()
+        writer.write(message("before") + post(FIVE + CHUNKED, ONE_CHUNK) + message("behind"))
+        await server.until(lambda: side.broken)
+        writer.write(message("later"))
+        await server.until(lambda: side.raw > 0)
+        assert server.taken == ["before"] and side.busy is not None
+        server.askers[0].answer(HTTPStatus.ACCEPTED)
+        async with asyncio.timeout(PATIENCE):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 202")
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 400")
+            await reader.read()  # it ends its side at once
+        assert server.taken == ["before"] and side.open()
+        server.now += LINGER_US
+        server.sweep()
+        await server.until(lambda: not server.connections)
+        writer.close()
+    play_holding(scene, monkeypatch)
+
+
+def test_requests_ahead_are_few_however_many_come_in_one_piece(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One message waits for its answer, and behind it as many requests as one read can hold."""
+    async def scene(server: Holding) -> None:
+        reader, writer, side = await server.connect()
+        writer.write(message("first"))
+        await server.until(lambda: len(server.taken) == 1)
+        most = 0
+
+        class Watched(deque):  # type: ignore[type-arg]
+            def append(self, request: object) -> None:
+                nonlocal most
+                super().append(request)
+                most = max(most, len(self))
+        side.waiting = Watched()
+        writer.write(20_000 * b"GET /no HTTP/1.1\r\nHost: x\r\n\r\n")
+        await server.until(lambda: most > 0 and (side.broken or not side.open()
+                                                 or side.transport is not None
+                                                 and not side.transport.is_reading()))
+        assert most <= 100
+        assert server.taken == ["first"] and side.open()
+        server.askers[0].answer(HTTPStatus.ACCEPTED)
+        async with asyncio.timeout(PATIENCE):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 202")
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 404")
+        writer.close()
+    play_holding(scene, monkeypatch)
+
+
+def test_who_goes_on_sending_behind_its_error_is_read_for_so_many_bytes_and_so_long_only(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing of it is kept; the clock stands for the one that sends much, and moves for the slow one."""
+    async def scene(server: Door) -> None:
+        reader, writer, much = await server.connect()
+        other, drips, slow = await server.connect()
+        for w in (writer, drips):
+            w.write(b"\x16\x03\x01 no request\r\n\r\n")
+        await server.until(lambda: much.until_us > 0 and slow.until_us > 0)
+        sent = 0
+        with suppress(ConnectionError):
+            while much.open():
+                writer.write(65536 * b"a")
+                sent += 65536
+                await writer.drain()
+                await asyncio.sleep(0)
+                assert sent < 60_000_000
+        assert much.reading is None and not much.waiting
+        start = server.now
+        while slow.open():
+            drips.write(b"a")
+            server.now += SWEEP_US
+            server.sweep()
+            assert server.now - start <= LINGER_US + SWEEP_US
+        writer.close()
+        drips.close()
+        del reader, other
+    play(scene, monkeypatch)
+
+
+def test_peers_that_send_much_and_go_leave_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each sends a large piece of something and goes in the same moment, some by a reset."""
+    async def scene(server: Door) -> None:
+        kept = await server.connect()
+        kinds = [60_000 * b"GET /no HTTP/1.1\r\nHost: x\r\n\r\n", 1_000_000 * b"\0", HEAD + 1_000_000 * b"X",
+                 post(b"Content-Length: 65000\r\n", 64_000 * b"a"),
+                 post(CHUNKED, 100_000 * b"1\r\na\r\n"), 500_000 * b"\r\n"]
+        for n, data in enumerate(2 * kinds):
+            _, writer, side = await server.connect()
+            if n % 2:
+                assert isinstance(sock := writer.get_extra_info("socket"), TransportSocket)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.write(data)
+            writer.transport.abort() if n % 2 else writer.close()
+            await server.until(lambda side=side: side.transport is None)  # type: ignore[misc]
+            assert not side.waiting and side.parser is None
+        assert not server.taken and server.connections == {kept[2]}
+    play(scene, monkeypatch)
