--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -23,6 +23,7 @@
 STALLED_US = 2_000_000  # a request that stands half read for longer is answered 408; the first on a ...
 FIRST_US = 300_000  # ... connection so long after connecting, if it has stood for this: clients wait 0.4 s
 SILENT_US = 2_000_000  # a connection on which nothing was ever asked is closed after this, and never sooner
+FRESH_US = 400_000  # clients send at once, and wait for the answer so long
 IDLE_US = 10_000_000  # as is one on which nothing has been asked for so long
 SWEEP_S = 0.2
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
@@ -135,22 +136,28 @@
         """Bound the sockets. Who waits for an answer stays; of the others the first by `rank` goes."""
         self.connections.add(connection)
         if len(self.connections) > self.most:
-            spare = (c for c in self.connections if c is not connection and c.busy is None and not c.waiting)
-            first = min(spare, key=self.rank, default=connection)
+            spare = [c for c in self.connections if c is not connection and c.busy is None and not c.waiting]
+            first = min(spare, key=self.rank(spare), default=connection)
             first.abort()
             # Its descriptor is closed in the loop's next turn: counted till then, it would be picked again
             # by each other that joins in this one, and none of them would make room.
             self.connections.discard(first)
 
-    def rank(self, connection: ClientConnection) -> tuple[int, int]:
-        """Who makes room first: those that were refused already, then those that never came to the end of a
-        request, by when they came, so that neither silence nor half requests without end push out who comes
-        with whole ones; then the one idle longest, and at last those in the middle of a later request."""
-        if connection.broken:
-            return 0, connection.used_us
-        if not connection.requests:
-            return 1, connection.came_us
-        return (2 if connection.idle() else 3), connection.used_us
+    def rank(self, spare: list[ClientConnection]) -> Callable[[ClientConnection], tuple[int, int]]:
+        """Who makes room first: those that were refused already; then those that never came to the end of a
+        request, the oldest first, while they are many or have had the time to, so that neither silence nor
+        half requests without end push out who comes with whole ones; then the one idle longest. So resting
+        connections cannot push out who has just come and was not read yet, either."""
+        unasked = [c.came_us for c in spare if not c.requests and not c.broken]
+        first = 2 * len(unasked) > self.most or self.clock() - min(unasked, default=0) >= FRESH_US
+
+        def rank(c: ClientConnection) -> tuple[int, int]:
+            if c.broken:
+                return 0, c.used_us
+            if not c.requests:
+                return 1 if first else 4, c.came_us
+            return 2 if c.idle() else 3, c.used_us
+        return rank
 
     def linger(self, connection: ClientConnection) -> None:
         """Close in a while: the client may read meanwhile what it did wrong. A flood shortens that."""
