Let each newcomer at the operators' address make room by a connection of its own

Cause: as with clients, the call that was aborted to make room was picked again by each other that came in the same turn of the loop, and 16 accepts fell into one turn. Change: it is no longer counted once it is aborted, and 2 are accepted in a turn.

--- a/lemonshunt/net/admin.py
+++ b/lemonshunt/net/admin.py
@@ -18,6 +18,7 @@
 from lemonshunt.net.server import bind
 
 MOST_CALLS = 16  # connections at a time
+ACCEPTS = 2  # taken in one turn of the loop: some turns pass until room is made for them
 MOST_HEAD = 8 * 1024
 MOST_BODY = 1024
 MOST_CONFIG = 1 << 20  # a whole configuration
@@ -79,14 +80,16 @@
     async def listen(self, where: Address) -> None:
         sock = await bind(where.host, where.port)
         self.listener = await asyncio.get_running_loop().create_server(
-            lambda: AdminCall(self), sock=sock, backlog=MOST_CALLS)
+            lambda: AdminCall(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
 
     def joined(self, call: AdminCall) -> None:
         """One more than may be: the oldest that is still not whole goes, and does not delay who asks."""
         self.calls[call] = None
         if len(self.calls) > MOST_CALLS:
-            next((c for c in self.calls if not c.answered and c is not call), next(iter(self.calls))).abort()
+            oldest = next((c for c in self.calls if not c.answered and c is not call), next(iter(self.calls)))
+            oldest.abort()
+            del self.calls[oldest]  # its descriptor is closed in the next turn: it makes room only once
 
     def handle(self, method: str, path: str, body: bytes, answer: Answer) -> None:
         routes = {"/_ready": ("GET", self.ready), "/_vars": ("GET", self.figures),
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,12 +11,13 @@
 
 import pytest
 
+from lemonshunt.net.admin import ACCEPTS as ADMIN_ACCEPTS
+from lemonshunt.net.admin import MOST_CALLS, Admin
+from lemonshunt.net.config import Address
 from lemonshunt.net.desk import Clock
-from lemonshunt.net.server import ACCEPTS, FRESH_US, Server
+from lemonshunt.net.server import ACCEPTS, FRESH_US, TURNS, Server
 from lemonshunt.wirehost import settings
-from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always
-
-TURNS = 4  # of the loop between a connection's accept and the end of the one that makes room for it
+from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always, free_port
 
 
 def held() -> int:
@@ -207,3 +208,24 @@
             flood.end()
             await node.end()
     asyncio.run(scene())
+
+
+def test_a_burst_at_the_operators_address_stays_within_its_bound_in_every_turn() -> None:
+    """It holds few descriptors, and those of its own: else operators' calls would take the others'."""
+    async def scene() -> None:
+        admin = Admin()
+        port = free_port()
+        await admin.listen(Address("127.0.0.1", port))
+        callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(60)]
+        before = held()
+        last = socket.create_connection(("127.0.0.1", port))
+        last.sendall(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        last.setblocking(False)
+        answer = asyncio.create_task(asyncio.get_running_loop().sock_recv(last, 100))
+        most = await most_held(answer.done)
+        assert most - before <= 1 + MOST_CALLS + TURNS * ADMIN_ACCEPTS
+        assert answer.result().startswith(b"HTTP/1.1 503")
+        admin.close()
+        for sock in [last, *callers]:
+            sock.close()
+    asyncio.run(scene())
