Count all descriptors of the process before clients get theirs

A limit of the process below the configuration's was not looked at. The lower of the two limits counts.

--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -4,20 +4,23 @@
 
 import asyncio
 import logging
+import resource
 import time
 from collections import Counter, OrderedDict
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
-from lemonshunt.net.admin import Figures
+from lemonshunt.net import admin
+from lemonshunt.net.admin import MOST_CALLS, Figures
 from lemonshunt.net.client import Call, Pool
 from lemonshunt.net.config import Config, Host, HostList
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.handover import Lock, Predecessor, Successor
 from lemonshunt.net.reconfigure import InForce
-from lemonshunt.net.server import Asker, Handed, Server
+from lemonshunt.net.server import ACCEPTS, TURNS, Asker, Handed, Server
 from lemonshunt.net.store import Store
 
 if TYPE_CHECKING:
@@ -30,6 +33,13 @@
 MOST_GONE = 400  # targets remembered by name that have left the list
 MOST_RECENT = 500  # messages remembered by id after their end
 MOST_DESTINATIONS = 4000
+OWN = 24
+"""Descriptors that the process holds beside clients, operators' calls and calls to targets: 3 standard ones;
+the loop's 3; the clients' listener, the platform's own of it, the operators'; the journal, its new file, its
+folder; the lock and its folder; the handover's listener and connection; discovery's and the notices'
+connections, each with the one before it that is just closing; the configuration read again; some to spare."""
+OPERATORS = 1 + MOST_CALLS + TURNS * admin.ACCEPTS
+"""And those of the operators' address."""
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
 trace = logging.getLogger("lemonshunt.trace")
@@ -248,8 +258,15 @@
         self.apart = {k.name for k in s.kinds if k.routes_apart}
 
     def share_sockets(self, sockets: int) -> None:
-        """A share of the descriptors for each side; the rest is for files, discovery and the listener."""
-        self.server.most, self.pool.most = max(8, sockets // 2), max(8, sockets // 3)
+        """A share of the descriptors for each side. What all others need is left, also while clients come
+        faster than room is made; clients that ask use a third at most (TERMS), and those that do not are let
+        go for them. A limit of the process that is lower than the configuration's goes before it."""
+        with suppress(OSError, ValueError):
+            limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+            sockets = sockets if limit == resource.RLIM_INFINITY else min(sockets, limit)
+        self.pool.most = max(8, sockets // 3)
+        others = self.pool.most + OWN + OPERATORS + TURNS * ACCEPTS
+        self.server.most = max(8, sockets // 4, min(sockets // 2, sockets - others))
 
     def ready(self) -> bool:
         """The one truth for clients and operators: not before the journal is read, nor while leaving."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -13,8 +13,9 @@
 
 from lemonshunt.net.admin import ACCEPTS as ADMIN_ACCEPTS
 from lemonshunt.net.admin import MOST_CALLS, Admin
-from lemonshunt.net.config import Address
-from lemonshunt.net.desk import Clock
+from lemonshunt.net.config import Address, Config, HostList
+from lemonshunt.net.desk import OWN, Clock
+from lemonshunt.net.engine import Engine
 from lemonshunt.net.server import ACCEPTS, FRESH_US, TURNS, Server
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always, free_port
@@ -229,3 +230,59 @@
         for sock in [last, *callers]:
             sock.close()
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize("sockets", [*range(256, 1025, 32)])
+def test_the_shares_leave_what_all_others_hold_and_a_third_for_requests(sockets: int, tmp_path: Path) -> None:
+    """The sum that stands beside the constants: clients and those that come while room is made, calls, the
+    operators' address, and one descriptor each of everything else, all at once."""
+    async def scene() -> None:
+        engine = engine_on(tmp_path, sockets)
+        clients = engine.server.most + TURNS * ACCEPTS
+        operators = 1 + MOST_CALLS + TURNS * ADMIN_ACCEPTS
+        assert clients + engine.pool.most + operators + OWN <= sockets
+        assert engine.server.most >= sockets // 3  # TERMS: clients use no more for requests
+        engine.store.close()
+    asyncio.run(scene())
+
+
+def test_the_shares_go_by_the_limit_of_the_process_where_that_is_lower(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        monkeypatch.setattr(resource, "getrlimit", lambda which: (300, 300))
+        engine = engine_on(tmp_path, 1024)
+        low = engine.server.most, engine.pool.most
+        engine.share_sockets(300)
+        assert (engine.server.most, engine.pool.most) == low
+        monkeypatch.setattr(resource, "getrlimit", lambda which: (resource.RLIM_INFINITY,) * 2)
+        engine.share_sockets(1024)
+        assert engine.server.most > 2 * low[0]
+        engine.store.close()
+    asyncio.run(scene())
+
+
+async def base_of(pid: int) -> list[str]:
+    return [os.readlink(f"/proc/{pid}/fd/{n}") for n in os.listdir(f"/proc/{pid}/fd")]
+
+
+def test_a_process_at_rest_holds_no_more_than_is_counted_as_its_own(tmp_path: Path) -> None:
+    async def scene() -> None:
+        platform = Platform()
+        await platform.start()
+        node = Node(tmp_path, platform)
+        node.hold_listener()
+        await node.start()
+        try:
+            await platform.got(1)
+            assert len(await base_of(node.process.pid)) <= OWN
+        finally:
+            await node.end()
+            assert node.listener is not None
+            node.listener.close()
+    asyncio.run(scene())
+
+
+def engine_on(folder: Path, sockets: int) -> Engine:
+    listen = Address("127.0.0.1", 9)
+    return Engine(Config("n", listen, listen, folder, 1, 192, sockets, 3_000_000, HostList(1, True, ()),
+                         settings(SETTINGS), ()))
