--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import resource
 import socket
@@ -11,12 +12,14 @@
 
 import pytest
 
+from lemonshunt.journal.files import SystemFiles
 from lemonshunt.net.admin import ACCEPTS as ADMIN_ACCEPTS
 from lemonshunt.net.admin import MOST_CALLS, Admin
 from lemonshunt.net.config import Address, Config, HostList
 from lemonshunt.net.desk import OWN, Clock
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.server import ACCEPTS, FRESH_US, TURNS, Server
+from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always, free_port
 
@@ -286,3 +289,66 @@
     listen = Address("127.0.0.1", 9)
     return Engine(Config("n", listen, listen, folder, 1, 192, sockets, 3_000_000, HostList(1, True, ()),
                          settings(SETTINGS), ()))
+
+
+class FewFiles(SystemFiles):
+    """A system that has no descriptor left for another file, while the test says so."""
+
+    out = ""
+
+    def open(self, path: Path, anew: bool = False) -> int:
+        if self.out == "open":
+            raise OSError(errno.EMFILE, "Too many open files")
+        return super().open(path, anew)
+
+    def sync_folder(self, path: Path) -> None:
+        if self.out == "folder":
+            raise OSError(errno.EMFILE, "Too many open files")
+        super().sync_folder(path)
+
+
+@pytest.mark.parametrize(("power", "fails_at"), [(False, "open"), (True, "open"), (True, "folder")])
+def test_a_new_journal_file_that_gets_no_descriptor_costs_no_message(
+        power: bool, fails_at: str, tmp_path: Path) -> None:
+    """The two events: the journal has grown so far that it is written anew, and the process has no
+    descriptor. What was taken on stays, also over a kill in that moment; nothing new is promised that is not
+    kept; and once there is a descriptor again, all is as before."""
+    files, jobs = FewFiles(), list[Callable[[], None]]()
+
+    def worker(job: Callable[[], None], done: Callable[[OSError | None], None]) -> None:
+        def run() -> None:
+            failed = None
+            try:
+                job()
+            except OSError as error:
+                failed = error
+            done(failed)
+        jobs.append(run)
+
+    def work() -> None:
+        while jobs:
+            jobs.pop(0)()
+
+    store = Store(tmp_path, 3_000_000, worker=worker if power else None, files=files)
+    work()
+    promised: list[str] = []
+    for n in range(20):
+        name = f"m{n}"
+        store.take(Taken(name, "order", 7, 10**16, f"k{n}", "acme", b"a" * 20_000))
+        store.commit(lambda ok, name=name: promised.append(name) if ok else None)  # type: ignore[misc]
+        work()
+        if name not in promised or 1 < n < 19:  # so that the file grows and what it holds does not
+            store.over(name)
+        files.out = fails_at
+    assert store.failed and not store.has_room(10)
+    kept = [name for name in promised if name in store.messages]
+    assert kept[:2] == ["m0", "m1"]
+    killed = Store(tmp_path, 3_000_000, write=False, files=SystemFiles())
+    assert set(kept) <= killed.messages.keys() and not killed.report.damaged
+    files.out = ""
+    store.log.retry_at = 0
+    store.log.tend()
+    work()
+    assert not store.failed and store.has_room(10)
+    store.close()
+    assert list(Store(tmp_path, 3_000_000).messages) == kept
