Play floods of bad clients all at once, refusals that linger and half-closed half requests

A process that stands still while 100 bad clients send 1 MB each (half heads, bodies, chunks, noise, pipelines, every other one behind a good message) and goes on with all of it lying there: good clients are served, and memory grows by under 16 MB. Bursts of refused, half read and closing connections count in the bound.

--- a/tests/test_crossing_door.py
+++ b/tests/test_crossing_door.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import socket
 import struct
 from asyncio.trsock import TransportSocket
@@ -10,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from http import HTTPStatus
+from pathlib import Path
 
 import pytest
 
@@ -17,7 +20,7 @@
 from lemonshunt.net.client_connection import ClientConnection
 from lemonshunt.net.server import MOST_UNREAD, Asker, Handed, Server
 from lemonshunt.wirehost import settings
-from tests.sockets import PATIENCE, SETTINGS, message
+from tests.sockets import OK, PATIENCE, SETTINGS, Node, Peer, Platform, always, message
 
 OWED_US = 3_000_000  # TERMS, Connections: an error or a close within 3 s of connecting
 SWEEP_US = int(door.SWEEP_S * 1_000_000)
@@ -426,3 +429,61 @@
             assert not side.waiting and side.parser is None
         assert not server.taken and server.connections == {kept[2]}
     play(scene, monkeypatch)
+
+
+def peak_kb(pid: int) -> int:
+    text = Path(f"/proc/{pid}/status").read_text()
+    return int(text.partition("VmHWM:")[2].split()[0])
+
+
+def test_what_many_bad_clients_send_at_once_costs_little_memory_and_others_are_served(tmp_path: Path) -> None:
+    """The process stands still while each bad client sends as much as the system takes; then it goes on, and
+    all of it lies there at once. Good clients come in the middle and behind them."""
+    async def scene() -> None:
+        platform = Platform()
+        await platform.start()
+        peer = await Peer(always(OK)).start()
+        platform.host("t", peer.port)
+        node = await Node(tmp_path, platform, max_open=1000).start()
+        pid, bad = node.process.pid, list[socket.socket]()
+        ends = [HEAD + b"X-", post(b"Content-Length: 60000000\r\n"), post(CHUNKED), b"\x16\x03", b""]
+        filler = [b"a", b"a", b"1\r\na\r\n", b"\0", b"GET /no HTTP/1.1\r\n\r\n"]
+        try:
+            await node.hand_in("first", "status")
+            before = peak_kb(pid)
+            os.kill(pid, signal.SIGSTOP)
+            for n in range(100):
+                sock = socket.create_connection(("127.0.0.1", node.port))
+                sock.setblocking(False)
+                with suppress(BlockingIOError):
+                    begin, more = ends[n // 2 % 5], filler[n // 2 % 5]
+                    ahead = message(f"ahead{n}", "status") if n % 2 else b""
+                    sock.sendall(ahead + begin + 1_000_000 // len(more) * more)
+                bad.append(sock)
+            good = [asyncio.create_task(node.hand_in(f"good{n}", "status")) for n in range(20)]
+            os.kill(pid, signal.SIGCONT)
+            async with asyncio.timeout(PATIENCE):
+                assert {status for status, _ in await asyncio.gather(*good)} <= {202, 429, 503}
+            assert (await node.hand_in("last", "status"))[0] == 202
+            assert peak_kb(pid) - before < 16 * 1024
+        finally:
+            for sock in bad:
+                sock.close()
+            await node.end()
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("says", [b"", b"P", b"\r\n", HEAD, HEAD + FIVE + b"\r\nhel", HEAD + CHUNKED + b"\r\n1"])
+def test_half_a_request_with_its_end_behind_it_is_closed_at_once(
+        says: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end of the client's side comes before its request's, so nothing more can come. The clock stands."""
+    async def scene(server: Door) -> None:
+        reader, writer, _ = await server.connect()
+        writer.write(says)
+        writer.write_eof()
+        async with asyncio.timeout(PATIENCE):
+            assert await reader.read() == b""
+        await server.until(lambda: not server.connections)
+        assert not server.taken
+        writer.close()
+    play(scene, monkeypatch)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -43,9 +43,12 @@
     return most
 
 
-def test_a_burst_of_connections_stays_within_the_bound_in_every_turn() -> None:
+@pytest.mark.parametrize("says", [b"", b"\x16\x03\x01", b"POST /order HTTP/1.1\r\nX-",
+                                  b"GET /no HTTP/1.1\r\nConnection: close\r\n\r\n"])
+def test_a_burst_of_connections_stays_within_the_bound_in_every_turn(says: bytes) -> None:
     """Many accepts fall into one turn of the loop, and a connection that makes room keeps its descriptor
-    until the next: each newcomer needs one of its own to go."""
+    until the next: each newcomer needs one of its own to go. Those count as well that were refused and are
+    read on for a while, and those that are closing."""
     class Counting(Server):
         joins = 0
 
@@ -57,6 +60,8 @@
         server = Counting(settings(SETTINGS), Clock(), 5, lambda handed, door: None)
         await server.listen("127.0.0.1", 0)
         clients = [socket.create_connection(("127.0.0.1", port_of(server.listener))) for _ in range(120)]
+        for client in clients:
+            client.sendall(says)
         before = held()
         most = await most_held(lambda: server.joins == len(clients) and len(server.connections) <= 5)
         assert most - before <= 5 + TURNS * ACCEPTS
