--- a/tests/test_crossing_door.py
+++ b/tests/test_crossing_door.py
@@ -473,7 +473,8 @@
     asyncio.run(scene())
 
 
-@pytest.mark.parametrize("says", [b"", b"P", b"\r\n", HEAD, HEAD + FIVE + b"\r\nhel", HEAD + CHUNKED + b"\r\n1"])
+@pytest.mark.parametrize("says", [b"", b"P", b"\r\n", HEAD, HEAD + FIVE + b"\r\nhel",
+                                  HEAD + CHUNKED + b"\r\n1"])
 def test_half_a_request_with_its_end_behind_it_is_closed_at_once(
         says: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     """The end of the client's side comes before its request's, so nothing more can come. The clock stands."""
