--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -20,7 +20,7 @@
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.handover import Lock, Predecessor, Successor
 from lemonshunt.net.reconfigure import InForce
-from lemonshunt.net.server import ACCEPTS, TURNS, Asker, Handed, Server
+from lemonshunt.net.server import ACCEPTS, ACCEPT_TURNS, Asker, Handed, Server
 from lemonshunt.net.store import Store
 
 if TYPE_CHECKING:
@@ -38,7 +38,7 @@
 the loop's 3; the clients' listener, the platform's own of it, the operators'; the journal, its new file, its
 folder; the lock and its folder; the handover's listener and connection; discovery's and the notices'
 connections, each with the one before it that is just closing; the configuration read again; some to spare."""
-OPERATORS = 1 + MOST_CALLS + TURNS * admin.ACCEPTS
+OPERATORS = 1 + MOST_CALLS + ACCEPT_TURNS * admin.ACCEPTS
 """And those of the operators' address."""
 SECOND = 1_000_000
 log = logging.getLogger("lemonshunt.engine")
@@ -265,7 +265,7 @@
             limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
             sockets = sockets if limit == resource.RLIM_INFINITY else min(sockets, limit)
         self.pool.most = max(8, sockets // 3)
-        others = self.pool.most + OWN + OPERATORS + TURNS * ACCEPTS
+        others = self.pool.most + OWN + OPERATORS + ACCEPT_TURNS * ACCEPTS
         self.server.most = max(8, sockets // 4, min(sockets // 2, sockets - others))
 
     def ready(self) -> bool:
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -23,14 +23,14 @@
 STALLED_US = 2_000_000  # a request that stands half read for longer is answered 408; the first on a ...
 FIRST_US = 300_000  # ... connection so long after connecting, if it has stood for this: clients wait 0.4 s
 SILENT_US = 2_000_000  # a connection on which nothing was ever asked is closed after this, and never sooner
-FRESH_US = 400_000  # clients send at once, and wait for the answer so long
+UNASKED_US = 400_000  # clients send at once, and wait for the answer so long
 IDLE_US = 10_000_000  # as is one on which nothing has been asked for so long
 SWEEP_S = 0.2
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
 BIND_TRIES, BIND_PAUSE_S = 100, 0.05
 ACCEPTS = 4  # connections taken at a time, ...
-TURNS = 4  # ... and the loop's turns from one's accept until the descriptor is free that makes room for it
+ACCEPT_TURNS = 4  # ... and the loop's turns from one's accept until the descriptor is free that makes room for it
 TIME_LEFT = re.compile(r"-?[0-9]{1,9}(\.[0-9]{0,9})?", re.ASCII)  # float() reads more: nan, 1e9, 1_0
 LATEST = 2.0  # times its class's deadline: what has longer to live is malformed
 log = logging.getLogger("lemonshunt.server")
@@ -150,7 +150,7 @@
         half requests without end push out who comes with whole ones; then the one idle longest. So resting
         connections cannot push out who has just come and was not read yet, either."""
         unasked = [c.came_us for c in spare if not c.requests and not c.broken]
-        first = 2 * len(unasked) > self.most or self.clock() - min(unasked, default=0) >= FRESH_US
+        first = 2 * len(unasked) > self.most or self.clock() - min(unasked, default=0) >= UNASKED_US
 
         def rank(c: ClientConnection) -> tuple[int, int]:
             if c.broken:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,7 +18,7 @@
 from lemonshunt.net.config import Address, Config, HostList
 from lemonshunt.net.desk import OWN, Clock
 from lemonshunt.net.engine import Engine
-from lemonshunt.net.server import ACCEPTS, FRESH_US, TURNS, Server
+from lemonshunt.net.server import ACCEPTS, UNASKED_US, ACCEPT_TURNS, Server
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always, free_port
@@ -64,7 +64,7 @@
             client.sendall(says)
         before = held()
         most = await most_held(lambda: server.joins == len(clients) and len(server.connections) <= 5)
-        assert most - before <= 5 + TURNS * ACCEPTS
+        assert most - before <= 5 + ACCEPT_TURNS * ACCEPTS
         await server.close()
         for client in clients:
             client.close()
@@ -89,7 +89,7 @@
         async with asyncio.timeout(PATIENCE):
             while sum(c.reading is not None for c in server.connections) < len(halves):
                 await asyncio.sleep(0.001)
-        now[0] += FRESH_US
+        now[0] += UNASKED_US
         for _ in halves:
             await up(*await asyncio.open_connection("127.0.0.1", port))
         for streams in before:
@@ -232,7 +232,7 @@
         last.setblocking(False)
         answer = asyncio.create_task(asyncio.get_running_loop().sock_recv(last, 100))
         most = await most_held(answer.done)
-        assert most - before <= 1 + MOST_CALLS + TURNS * ADMIN_ACCEPTS
+        assert most - before <= 1 + MOST_CALLS + ACCEPT_TURNS * ADMIN_ACCEPTS
         assert answer.result().startswith(b"HTTP/1.1 503")
         admin.close()
         for sock in [last, *callers]:
@@ -246,8 +246,8 @@
     operators' address, and one descriptor each of everything else, all at once."""
     async def scene() -> None:
         engine = engine_on(tmp_path, sockets)
-        clients = engine.server.most + TURNS * ACCEPTS
-        operators = 1 + MOST_CALLS + TURNS * ADMIN_ACCEPTS
+        clients = engine.server.most + ACCEPT_TURNS * ACCEPTS
+        operators = 1 + MOST_CALLS + ACCEPT_TURNS * ADMIN_ACCEPTS
         assert clients + engine.pool.most + operators + OWN <= sockets
         assert engine.server.most >= sockets // 3  # TERMS: clients use no more for requests
         engine.store.close()
