--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -20,7 +20,7 @@
 from lemonshunt.net.discovery import Notices, Watch
 from lemonshunt.net.handover import Lock, Predecessor, Successor
 from lemonshunt.net.reconfigure import InForce
-from lemonshunt.net.server import ACCEPTS, ACCEPT_TURNS, Asker, Handed, Server
+from lemonshunt.net.server import ACCEPT_TURNS, ACCEPTS, Asker, Handed, Server
 from lemonshunt.net.store import Store
 
 if TYPE_CHECKING:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,7 +18,7 @@
 from lemonshunt.net.config import Address, Config, HostList
 from lemonshunt.net.desk import OWN, Clock
 from lemonshunt.net.engine import Engine
-from lemonshunt.net.server import ACCEPTS, UNASKED_US, ACCEPT_TURNS, Server
+from lemonshunt.net.server import ACCEPT_TURNS, ACCEPTS, UNASKED_US, Server
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.wirehost import settings
 from tests.sockets import OK, PATIENCE, SETTINGS, Answer, Node, Peer, Platform, Request, always, free_port
