Tell a call whose write failed as could not connect: the socket took none of its bytes

A connection that is reset between the last look at it and the write makes the write fail. asyncio then empties its buffer, and an empty buffer was taken for 'the last byte is out': the call counted as one that may have run, and a once-only message ended by it.

A half-close in the same moment takes the bytes and stays a reset that may have run: that was right, and is a test beside it.

--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -132,7 +132,8 @@
         self.age_us = self.start_us - self.idle_us if self.idle_us >= 0 else -1
         self.call, call.connection = call, self
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() == 0:
+        # A write that fails leaves the buffer empty, too: then the socket did not take the last byte.
+        if self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing():
             self.whole(call)
 
     def close(self) -> None:
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -223,6 +223,46 @@
 # A connection breaks before the call's last byte is written
 
 
+@pytest.mark.parametrize("rested", [False, True])
+def test_reset_between_the_last_look_and_the_write_never_ran(rested: bool, target: Target) -> None:
+    """The write fails, and the socket took no byte."""
+    async def scene() -> None:
+        s = Scene(target)
+        sides = await s.rested() if rested else []
+
+        def leaves(call: Call) -> int:
+            reset(sides[0] if sides else target.accept())
+            arrived(s.only())
+            return 0
+        s.pool.leaves = leaves
+        s.pool.start(s.call())
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.NO_CONNECTION] and s.ends[0].weak and s.pool.relayed == len(sides)
+        await until(lambda: not s.pool.all)
+        s.done()
+    play(scene)
+
+
+@pytest.mark.parametrize("rested", [False, True])
+def test_end_between_the_last_look_and_the_write_may_have_run(rested: bool, target: Target) -> None:
+    """A half-close takes what is written after it: nothing here tells that nobody reads it."""
+    async def scene() -> None:
+        s = Scene(target)
+        sides = await s.rested() if rested else []
+
+        def leaves(call: Call) -> int:
+            side = sides[0] if sides else target.accept()
+            side.shutdown(socket.SHUT_WR)
+            arrived(s.only())
+            return 0
+        s.pool.leaves = leaves
+        s.pool.start(s.call())
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.RESET]
+        s.done()
+    play(scene)
+
+
 # An answer lies unread at the socket when its call is given up
 
 
