Never let the rest of a request follow its answer or its connection's end

A call answered before its request was written whole (an early 429 or 413 on a large body) gave its connection back as idle with the rest of the request still buffered: the rest then left, so that a call turned away as 'never ran' had its last byte arrive after all, and the next call's bytes came behind it. An end by the target was followed by the rest, too, as asyncio flushes before it closes, and a target that read no more held the call till its time-out. And bytes that cannot be read made a half-written call one that may have run, though a target starts none whose last byte has not arrived.

Without the mend six of the seven cases fail: `assert not [<Connection>]` (kept as idle, three answers), `[<Outcome.NO_CONNECTION>] == [<Outcome.DELIVERED>]`, `[<Outcome.SPOILT>] == [<Outcome.NO_CONNECTION>]`, and TimeoutError for the end. The reset under a half-written call was right. With it all seven pass.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -184,11 +184,11 @@
         """Stop waiting for a call, all its messages together: while its connection is open each of them is
         still out, and once it is closed, as a late answer must not be taken for the next call's, none is."""
         sent = call.connection is not None and call.written
-        if not sent:  # a connection that still had time to come up tells nothing of its target
+        if self.true_200(call):
+            outcome = Outcome.DELIVERED
+        elif not sent:  # a connection that still had time to come up tells nothing of its target
             early = call.connection is None and self.clock() < call.dial_until_us
             outcome = Outcome.NOT_SENT if early else Outcome.NO_CONNECTION
-        elif self.true_200(call):
-            outcome = Outcome.DELIVERED
         self.finish(call, Result(outcome))
 
     def true_200(self, call: Call) -> bool:
@@ -250,13 +250,14 @@
         if broken:
             # A first line with 200 is a delivery though the rest is spoilt; of several, only the whole answer
             # tells. Whatever else it says, a spoilt answer shows that the call may have run, also where its
-            # first line denies it, and its report and wait are not to be believed.
+            # first line denies it, and its report and wait are not to be believed. A call that is not whole
+            # has not started.
             if reader.first_line == 200 and not many:
                 outcome = Outcome.DELIVERED
-            elif reader.started:
-                outcome = Outcome.SPOILT
+            elif not call.written:
+                outcome = Outcome.NO_CONNECTION
             else:
-                outcome = Outcome.RESET if call.written else Outcome.NO_CONNECTION
+                outcome = Outcome.SPOILT if reader.started else Outcome.RESET
             self.finish(call, Result(outcome, weak=outcome is not Outcome.DELIVERED))
             return
         report = self.report(reader)
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -167,11 +167,18 @@
             self.pool.was_stale(self.age_us, False)
             self.call, call.connection = None, None
             self.pool.ended(call, self.reader)
-            if self.reader.keep_alive and not self.closing():
+            # What is left of a request that was answered early must not follow: its call would start yet.
+            if self.reader.keep_alive and call.written and not self.closing():
                 self.pool.keep(self, call.target)
             else:
                 self.close()
 
+    def eof_received(self) -> None:
+        """The target's end. A transport would go on and write what is left of a request before it closes; and
+        what is not whole by now must not become so."""
+        if self.call is not None and not self.call.written:
+            self.close()
+
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.lost(self)
         call, self.call = self.call, None
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -263,6 +263,71 @@
     play(scene)
 
 
+@pytest.mark.parametrize("how", ["reset", "end", "noise"])
+def test_connection_that_breaks_under_a_half_written_call_never_ran(how: str, target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        call = s.call(body=HUGE)
+        s.pool.start(call)
+        await until(lambda: call.connection is not None)
+        side = target.accept()
+        assert side.recv(1) and not call.written
+        if how == "reset":
+            reset(side)
+        elif how == "end":  # it reads no more either: what is left must not be waited for
+            side.shutdown(socket.SHUT_WR)
+        else:
+            side.sendall(b"\0\1 what nobody speaks\r\n\r\n")
+        async with asyncio.timeout(5):
+            await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.NO_CONNECTION] and s.ends[0].weak and s.pool.relayed == 0
+        s.done()
+    play(scene)
+
+
+@pytest.mark.parametrize("answer, outcome", [
+    (FULL, Outcome.FULL), (OK, Outcome.DELIVERED),
+    (b"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n", Outcome.FAILED)])
+def test_answer_before_the_request_is_written_ends_its_connection(
+        answer: bytes, outcome: Outcome, target: Target) -> None:
+    """What is left of the request must not follow, else a call that was turned away starts after all, and the
+    next one's bytes come behind it."""
+    async def scene() -> None:
+        s = Scene(target)
+        call = s.call(body=HUGE)
+        s.pool.start(call)
+        await until(lambda: call.connection is not None)
+        side = target.accept()
+        side.sendall(answer)
+        await until(lambda: s.ends)
+        assert s.outcomes() == [outcome] and not call.written
+        assert not s.pool.idle.get(1)
+        await until(lambda: not s.pool.all)
+        size = 0
+        try:
+            while more := side.recv(1 << 20):
+                size += len(more)
+        except ConnectionResetError:
+            pass
+        assert size < len(HUGE)
+        s.done()
+    play(scene)
+
+
+def test_first_line_with_200_before_the_request_is_written_is_a_delivery(target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        call = s.call(body=HUGE)
+        s.pool.start(call)
+        await until(lambda: call.connection is not None)
+        target.accept().sendall(b"HTTP/1.1 200 OK\r\n")
+        await until(lambda: call.begun)
+        s.pool.cancel("m", 0)
+        assert s.outcomes() == [Outcome.DELIVERED]
+        s.done()
+    play(scene)
+
+
 # An answer lies unread at the socket when its call is given up
 
 
