Look at a fresh connection once more before its call's first byte

A target that holds only so many connections accepts one and lets go of it at once. Where that came between the connection and the call, unread by the loop, the call was written all the same and ended as a reset that may have run, which ends a once-only message. Idle connections were looked at in this way already; fresh ones are now, too: broken before the first byte is 'could not connect'.

Without the mend, with the break forced as the connection is made: `[<Outcome.RESET>] == [<Outcome.NO_CONNECTION>]` for an end and a reset, `[<Outcome.SPOILT>] == ...` for half a line. With it all three pass.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -94,8 +94,11 @@
                                      weak=isinstance(error, ConnectionResetError)))
             return
         self.all.add(connection)
-        if connection.closing():  # it came up and broke: the target is there
+        if not connection.quiet():
+            # It came up and broke, perhaps unread as yet: a target that holds only so many lets go of more.
+            # That it is there is known, and what breaks before the first byte never ran.
             self.finish(call, Result(Outcome.NO_CONNECTION, weak=True))
+            connection.close()
         else:
             self.go_on(call, connection)
 
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -263,6 +263,40 @@
     play(scene)
 
 
+@pytest.mark.parametrize("how", ["end", "reset", "half a line"])
+def test_connection_that_breaks_as_it_comes_up_carries_no_call(
+        how: str, target: Target, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A target that holds only so many accepts and lets go: what is known before the write never ran."""
+    async def scene() -> None:
+        s = Scene(target)
+        seen: list[bytes] = []
+        made = Connection.connection_made
+
+        def connection_made(self: Connection, transport: asyncio.BaseTransport) -> None:
+            made(self, transport)
+            side = target.accept()
+            if how == "end":
+                side.shutdown(socket.SHUT_WR)
+            elif how == "half a line":
+                side.sendall(b"HTTP/1.1 5")
+            else:
+                reset(side)
+            arrived(self)
+        monkeypatch.setattr(Connection, "connection_made", connection_made)
+        s.pool.start(s.call())
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.NO_CONNECTION] and s.ends[0].weak
+        await until(lambda: not s.pool.all)
+        if how != "reset":
+            try:
+                seen.append(target.open[-1].recv(100))
+            except ConnectionResetError:
+                seen.append(b"")
+            assert seen == [b""]
+        s.done()
+    play(scene)
+
+
 @pytest.mark.parametrize("how", ["reset", "end", "noise"])
 def test_connection_that_breaks_under_a_half_written_call_never_ran(how: str, target: Target) -> None:
     async def scene() -> None:
