Read what lies at the socket before a call is given up

A message is delivered once a first line with 200 has been written to the forwarder, and a loop that is busy for a while may not have read it when a time-out, a cancel or the bound on half answers comes: the call was given up over its own answer, a once-only message failed by it, and another was sent again. Now a call whose socket has something unread is given up one turn later, in which asyncio sees to sockets before timers. An end that was read in the same turn goes first as well.

Eleven events in each pair, 121 in all, end a call once; that was right, and is a test now.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -167,7 +167,9 @@
             delay = max(0, first - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
-    def timed_out(self, call: Call) -> None:
+    def timed_out(self, call: Call, looked: bool = False) -> None:
+        if not looked and self.unread(call, lambda: self.timed_out(call, True)):
+            return
         now = self.clock()
         late = [item for item in call.open.values() if item.until_us <= now]
         if len(late) < len(call.open) and all(item.at_end for item in late):
@@ -176,16 +178,35 @@
                 self.tell(call, item, Result(Outcome.TIMED_OUT if sent else Outcome.NOT_SENT))
             self.arm(call)
         else:
-            self.give_up(call, Outcome.TIMED_OUT)
+            self.give_up(call, Outcome.TIMED_OUT, True)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
         if call is not None and message in call.open:
             self.give_up(call, Outcome.CANCELED)
 
-    def give_up(self, call: Call, outcome: Outcome) -> None:
+    def unread(self, call: Call, then: Callable[[], None]) -> bool:
+        """Whether a call is not to be given up as yet. What a busy loop has not read counts first, as the
+        answer may lie at the socket: it is read in the next turn, which sees to sockets before timers. Then
+        this goes on, however much more lies there by that time."""
+        if not call.open or call.connection is None:
+            return not call.open
+        if call.connection.closing():  # its end was read, and is on its way to the call
+            return True
+        if not call.connection.unread():
+            return False
+
+        def go_on() -> None:
+            if call.open and (call.connection is None or not call.connection.closing()):
+                then()
+        asyncio.get_running_loop().call_later(0, go_on)
+        return True
+
+    def give_up(self, call: Call, outcome: Outcome, looked: bool = False) -> None:
         """Stop waiting for a call, all its messages together: while its connection is open each of them is
         still out, and once it is closed, as a late answer must not be taken for the next call's, none is."""
+        if not looked and self.unread(call, lambda: self.give_up(call, outcome, True)):
+            return
         sent = call.connection is not None and call.written
         if self.true_200(call):
             outcome = Outcome.DELIVERED
@@ -204,8 +225,10 @@
             call.begun = True
             asyncio.get_running_loop().call_later(WHOLE_S, self.cut_short, call)
 
-    def cut_short(self, call: Call) -> None:
-        if call.open and call.connection is not None:
+    def cut_short(self, call: Call, looked: bool = False) -> None:
+        if not looked and self.unread(call, lambda: self.cut_short(call, True)):
+            return
+        if call.connection is not None:
             self.spoilt(call, "not whole in time")
             reader = call.connection.reader
             self.drop(call)
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -119,11 +119,15 @@
     def quiet(self) -> bool:
         """Whether nothing has come on it unasked. An end, a second answer or noise that waits unread would be
         taken for the next call's."""
+        return not self.closing() and not self.unread()
+
+    def unread(self) -> bool:
+        """Whether something lies at its socket that the loop has not read: bytes, an end, a reset."""
         if self.transport is None or self.transport.is_closing():
             return False
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return bool(poll.poll(0))
 
     def start(self, call: Call, data: bytes) -> None:
         assert self.transport is not None
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -371,6 +371,60 @@
     (b"end", Outcome.RESET)]
 
 
+@pytest.mark.parametrize("how", ["time-out", "cancel"])
+@pytest.mark.parametrize("answer, outcome", UNREAD)
+def test_answer_that_lies_unread_goes_before_giving_up(
+        answer: bytes, outcome: Outcome | None, how: str, target: Target) -> None:
+    """A message is delivered once its first line with 200 was written to the forwarder, also where the loop
+    was busy and has not read it."""
+    async def scene() -> None:
+        s = Scene(target)
+        call, side = await s.out()
+        connection = s.only()
+        if answer == b"end":
+            side.shutdown(socket.SHUT_WR)
+        elif answer:
+            side.sendall(answer)
+        if answer:
+            arrived(connection)
+        if how == "cancel":
+            s.pool.cancel("m", 0)
+        else:
+            call.items[0].until_us = 0
+            s.pool.timed_out(call)
+        await until(lambda: s.ends)
+        given_up = Outcome.CANCELED if how == "cancel" else Outcome.TIMED_OUT
+        assert s.outcomes() == [outcome or given_up]
+        await asyncio.sleep(0)
+        s.done()
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["time-out", "at end", "cancel", "cut short"])
+def test_shared_answer_that_lies_unread_goes_before_giving_up(how: str, target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        call, side = await s.out("a", "b")
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BOTH) + BOTH
+        if how == "cut short":
+            side.sendall(answer[:20])
+            await until(lambda: call.begun)
+            answer = answer[20:]
+        side.sendall(answer)
+        arrived(s.only())
+        if how == "cancel":
+            s.pool.cancel("a", 0)
+        elif how == "cut short":
+            s.pool.cut_short(call)
+        else:
+            call.items[0].until_us, call.items[0].at_end = 0, how == "at end"
+            s.pool.timed_out(call)
+        await until(lambda: len(s.ends) == 2)
+        assert {e.message: e.outcome for e in s.ends} == {"a": Outcome.DELIVERED, "b": Outcome.FULL}
+        s.done()
+    play(scene)
+
+
 # Two events in one turn
 
 
@@ -393,6 +447,33 @@
          "retired")
 
 
+@pytest.mark.parametrize("first", NAMES)
+def test_each_pair_of_events_ends_a_call_once(first: str, target: Target) -> None:
+    async def scene() -> None:
+        for second in NAMES:
+            s = Scene(target)
+            call, side = await s.out()
+            connection = s.only()
+            do = events(s, call, connection)
+            do[first]()
+            do[second]()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            if not s.ends:  # nothing of this ends a call: it is still out, and its answer counts
+                assert call.open and not {first, second} & {"answer", "time-out", "cancel", "lost", "cut"}
+                connection.data_received(b"\r\nContent-Length: 0\r\n\r\n" if call.begun else OK)
+            assert len(s.ends) == 1, (first, second)
+            if first == "answer":
+                assert s.outcomes() == [Outcome.DELIVERED]
+            gone = {first, second} & {"drained", "moved", "retired"}
+            assert not (gone and s.pool.idle.get(1)), (first, second)
+            s.done()
+            s.pool.close()
+            await until(lambda s=s: not s.pool.all)
+            side.close()
+    play(scene)
+
+
 # A dial that comes up late
 
 
