Let no call leave on a connection that comes up after the pool was closed

Now closing takes the targets away and calls the dials off.

Without the mend: test_dial_that_comes_up_late_carries_only_what_may_still_leave fails for `closed`, the dial held before and after the connection is made: the target reads the call where it should read an end (`assert False`). With it both pass. Time-out, cancel, cut, drain, move, wait and hand-over against a late dial were right: 14 more cases are kept, and that such a connection carries the next call.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -35,7 +35,6 @@
         super().__init__(clock, idle_us)
         self.sink, self.most = sink, most
         self.settle(fields, idle_us, dial_us)
-        self.dials: set[asyncio.Task[None]] = set()
         self.waits: dict[tuple[int, int], int] = {}
         self.out = 0
         self.relayed = 0  # messages written whole to targets
--- a/lemonshunt/net/idle.py
+++ b/lemonshunt/net/idle.py
@@ -26,6 +26,7 @@
         self.stale = [0.0] * 64
         self.idle: dict[int, list[Connection]] = {}
         self.all: set[Connection] = set()
+        self.dials: set[asyncio.Task[None]] = set()
         self.where: dict[int, Address] = {}
         self.sweeping = False
 
@@ -108,5 +109,9 @@
             self.close_idle(target)
 
     def close(self) -> None:
+        """Nothing leaves any more, on whatever connection comes up late."""
+        self.where = {}
+        for dial in list(self.dials):
+            dial.cancel()
         for connection in list(self.all):
             connection.close()
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -477,6 +477,78 @@
 # A dial that comes up late
 
 
+@pytest.mark.parametrize("up", [False, True])
+@pytest.mark.parametrize("meanwhile", [
+    "time-out", "cancel", "cut dials", "drained", "moved", "wait", "retired", "closed", "nothing"])
+def test_dial_that_comes_up_late_carries_only_what_may_still_leave(
+        meanwhile: str, up: bool, target: Target) -> None:
+    async def scene() -> None:
+        s, other = Scene(target), Target()
+        gate = Gate(up)
+        call = s.call(left_us=60_000_000)
+        s.pool.start(call)
+        await gate.held.wait()
+        match meanwhile:
+            case "time-out":
+                call.items[0].until_us = 0
+                s.pool.timed_out(call)
+            case "cancel":
+                s.pool.cancel("m", 0)
+            case "cut dials":
+                s.pool.cut_dials()
+            case "drained":
+                s.pool.serving({})
+            case "moved":
+                s.pool.serving({1: other.where})
+            case "wait":
+                s.pool.bind(call.place, s.clock() + 60_000_000)
+            case "retired":
+                s.pool.cut_dials()
+                s.pool.retire()
+            case "closed":
+                s.pool.close()
+        gate.free.set()
+        await until(lambda: not s.pool.dials)
+        await asyncio.sleep(0)
+        if meanwhile == "nothing":
+            side = target.accept()
+            assert request_on(side)
+            assert not s.ends
+            s.pool.cancel("m", 0)
+        else:
+            assert s.outcomes() in ([], [Outcome.NOT_SENT])
+            assert s.ends or meanwhile == "closed"
+            kept = meanwhile in ("time-out", "cancel", "cut dials", "wait")
+            assert len(s.pool.idle.get(1, [])) == kept
+            if kept or up or target.waits():
+                side = target.accept()
+                assert not readable(side) if kept else ended(side, PATIENCE)
+            assert not other.waits()
+        other.close()
+        s.pool.close()
+        await until(lambda: not s.pool.all)
+    play(scene)
+
+
+def test_late_connection_of_a_call_that_ended_carries_the_next(target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        gate = Gate(True)
+        s.pool.start(s.call("m"))
+        await gate.held.wait()
+        s.pool.cancel("m", 0)
+        gate.free.set()
+        await until(lambda: s.pool.idle.get(1))
+        s.pool.start(s.call("n"))
+        side = target.accept()
+        assert b"X-Correlation-Id: n" in request_on(side) and not target.waits()
+        side.sendall(OK)
+        await until(lambda: len(s.ends) == 2)
+        assert s.outcomes() == [Outcome.NOT_SENT, Outcome.DELIVERED]
+        s.done()
+    play(scene)
+
+
 # An answer that breaks off
 
 
