Heed a wait told while the last gate held a call, also if its connection broke meanwhile

The last gate may hold a call for some milliseconds. Its connection that broke by then is replaced by another idle one, and on that way the wait that was told meanwhile was not looked at: only the ways over the same connection and over a new one did. Now all three go through one place.

Without the mend: test_call_held_at_the_last_gate_leaves_only_if_it_still_may[lost and wait] fails by TimeoutError (the call left, no end). With it all six cases pass; wait, drain, move and cancel alone were right.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -70,7 +70,7 @@
         while idle:
             connection = idle.pop()
             if connection.quiet() and self.trusted(self.clock() - connection.idle_us):
-                self.launch(call, connection)
+                self.go_on(call, connection)
                 return
             connection.close()
         if len(self.all) + len(self.dials) >= self.most and not self.make_room():
@@ -102,12 +102,12 @@
             self.go_on(call, connection)
 
     def go_on(self, call: Call, connection: Connection) -> None:
+        """What was told since the call was decided binds it, too, on whichever connection it came here."""
         if self.where.get(call.target) != connection.where:
             # Drained while the connection was coming up: what was queued for it must not leave any more.
             self.finish(call, Result(Outcome.NOT_SENT))
             connection.close()
         elif not call.open or self.clock() < self.waits.get(call.place, 0):
-            # A wait that was told meanwhile binds this call too, though it was decided before.
             self.finish(call, Result(Outcome.NOT_SENT))
             self.keep(connection, call.target)
         else:
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -577,4 +577,42 @@
 # The last gate holds a call for a moment
 
 
+@pytest.mark.parametrize("meanwhile", ["wait", "drained", "moved", "canceled", "lost", "lost and wait"])
+def test_call_held_at_the_last_gate_leaves_only_if_it_still_may(meanwhile: str, target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        sides = await s.rested(2)
+        asked: list[Call] = []
+
+        def leaves(call: Call) -> int:
+            asked.append(call)
+            return 10_000 if len(asked) == 1 else 0
+        s.pool.leaves = leaves
+        s.pool.start(s.call("m"))
+        assert len(asked) == 1 and len(s.pool.idle[1]) == 1
+        if "lost" in meanwhile:
+            (held,) = s.pool.all - set(s.pool.idle[1])
+            assert held.transport is not None
+            held.transport.abort()
+        if "wait" in meanwhile:
+            s.pool.bind((7, -1), s.clock() + 60_000_000)
+        elif meanwhile == "drained":
+            s.pool.serving({})
+        elif meanwhile == "moved":
+            s.pool.serving({1: Address("127.0.0.1", 9)})
+        elif meanwhile == "canceled":
+            s.pool.cancel("m", 0)
+        if meanwhile == "lost":
+            await until(lambda: len(asked) == 2)
+            assert sum(readable(side) and not ended(side) for side in sides) == 1
+            s.pool.cancel("m", 0)
+        else:
+            await until(lambda: s.ends)
+            assert s.outcomes() == [Outcome.NOT_SENT] and len(asked) == 1
+            assert not any(readable(side) and not ended(side) for side in sides)
+        s.pool.close()
+        s.done()
+    play(scene)
+
+
 # What may leave only until a moment
