Leave an idle connection its age where the last gate sent its call back

A connection put back without having carried a call counted as idle from that moment on, while its target counts from the last answer and closes it by that. Kept for another whole while, it was past its target's time when the next call took it, and any request written from then on ends as a reset.

Without the mend: test_turned_back_at_the_last_gate_a_connection_is_no_younger fails, ` ==`. With it it passes.

--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -134,6 +134,7 @@
         self.reader.renew()
         self.start_us = self.pool.clock()
         self.age_us = self.start_us - self.idle_us if self.idle_us >= 0 else -1
+        self.idle_us = -1
         self.call, call.connection = call, self
         self.transport.write(data)
         # A write that fails leaves the buffer empty, too: then the socket did not take the last byte.
--- a/lemonshunt/net/idle.py
+++ b/lemonshunt/net/idle.py
@@ -75,7 +75,8 @@
         if self.where.get(target) != connection.where or self.idle_us <= 0 or len(held) >= MOST_IDLE:
             connection.close()
             return
-        connection.idle_us = self.clock()
+        if connection.idle_us < 0:  # else it carried no call since: its target has counted on
+            connection.idle_us = self.clock()
         held.append(connection)
         if not self.sweeping:
             self.sweeping = True
