Count an answer as begun from its own first byte, not from a 1xx ahead of it

An answer that has begun must be whole within half a second, or it is cut and counts as spoilt. A 1xx answer ahead (processing, early hints) started that time as well, so that a target which says at once that it has the request and works longer than that had every call cut and, where it may be repeated, sent again.

Without the mend: test_answers_ahead_begin_no_answer fails, `assert not True` (call.begun). With it it passes; the size of what comes ahead stays bounded, and the call's own time-out holds.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -228,8 +228,11 @@
         if not looked and self.unread(call, lambda: self.cut_short(call, True)):
             return
         if call.connection is not None:
-            self.spoilt(call, "not whole in time")
             reader = call.connection.reader
+            if not reader.begun:  # it was one ahead of the answer, in two parts
+                call.begun = False
+                return
+            self.spoilt(call, "not whole in time")
             self.drop(call)
             self.ended(call, reader, broken=True)
 
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -167,7 +167,8 @@
             self.pool.ended(call, self.reader, broken=True)
             return
         if not self.reader.complete:
-            self.pool.begun(call)
+            if self.reader.begun:
+                self.pool.begun(call)
         else:
             self.pool.was_stale(self.age_us, False)
             self.call, call.connection = None, None
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -44,6 +44,11 @@
         """The connection is over. The parser refers back: the collector need not find the ring."""
         self.parser = None
 
+    @property
+    def begun(self) -> bool:
+        """Whether some of the answer itself has come: those ahead of it are no part of it."""
+        return bool(self.first_line or self.start)
+
     @property
     def body(self) -> bytes:
         return b"".join(self.parts)
