Take a shared answer that names a message twice for one that cannot be read

The later of the two states held, so that 'deferred' behind 'accepted' made a message that had run one that never did, to be sent again. An answer that cannot be read as the protocol requires may have run.

Without the mend: the first case of test_shared_answer_that_cannot_be_read_may_have_run fails, `At index 0 diff: <Outcome.DELIVERED> != <Outcome.SPOILT>`. With it all eight pass; the other seven were right.

--- a/lemonshunt/net/answers.py
+++ b/lemonshunt/net/answers.py
@@ -50,7 +50,9 @@
     """The ends of a batch call's messages, by id; those not named failed. Raises ValueError, TypeError,
     KeyError or RecursionError where its body cannot be read."""
     wait, ends = wait_us(reader), {}
-    for name, state in {e["id"]: e["state"] for e in json.loads(reader.body)}.items():
+    for name, state in [(e["id"], e["state"]) for e in json.loads(reader.body)]:
+        if name in ends:
+            raise ValueError("a message named twice")  # it may have run, whichever of the two holds
         outcome = STATES.get(state, Outcome.FAILED) if isinstance(state, str) else Outcome.FAILED
         ends[name] = Result(outcome, state == "expired", wait if outcome is Outcome.FULL else 0)
     return ends
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -596,6 +596,22 @@
     play(scene)
 
 
+@pytest.mark.parametrize("body", [
+    b'[{"id":"a","state":"deferred"},{"id":"a","state":"accepted"},{"id":"b","state":"accepted"}]',
+    b'{"id":"a","state":"accepted"}', b'[{"id":"a","state":"accepted"},{"id":"b"', b"[1]", b"", b"\xff",
+    b'[{"id":"a"}]', b'[{"id":["a"],"state":"accepted"}]'])
+def test_shared_answer_that_cannot_be_read_may_have_run(body: bytes, target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        _, side = await s.out("a", "b")
+        side.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.SPOILT] * 2
+        s.done()
+        s.pool.close()
+    play(scene)
+
+
 # A reset after the last byte, also long after
 
 
