Take a dial that its own call cut short for a weak sign of its target

A call gives its connection the settings' time to come up, or what is left of its own time if that is less. Then the time-out of the dial always came a millisecond before the call's own, and so 'could not connect' counted in full, though giving up a call says itself that a connection which still had time tells nothing of its target: two such, and a sound target whose connections come up late was in an outage. It is a weak sign now, as a reset is; a dial that had its whole time still counts in full.

Without the mend: test_dial_cut_by_its_own_call_says_little_of_its_target fails, `assert (Ended(... weak=False)...)`. With it it passes.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -89,8 +89,10 @@
                     lambda: Connection(self, where), where.host, where.port)
         except (OSError, TimeoutError) as error:
             ours = isinstance(error, OSError) and error.errno in OURS
+            # A dial that had less time than the settings give one may just have been cut by its own call.
+            cut = isinstance(error, TimeoutError) and left < self.dial_us
             self.finish(call, Result(Outcome.NOT_SENT if ours else Outcome.NO_CONNECTION,
-                                     weak=isinstance(error, ConnectionResetError)))
+                                     weak=cut or isinstance(error, ConnectionResetError)))
             return
         self.all.add(connection)
         if not connection.quiet():
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -550,6 +550,22 @@
     play(scene)
 
 
+def test_dial_cut_by_its_own_call_says_little_of_its_target(target: Target) -> None:
+    """The settings give a connection more time than this call had left."""
+    async def scene() -> None:
+        s = Scene(target)
+        Gate(False)
+        s.pool.start(s.call(left_us=30_000))
+        await until(lambda: s.ends)
+        assert s.outcomes()[0] in i.NEVER_RAN and (s.ends[0].weak or s.outcomes() == [Outcome.NOT_SENT])
+        s.pool.settle((), 0, 30_000)
+        s.pool.start(s.call("n"))
+        await until(lambda: len(s.ends) == 2)
+        assert s.outcomes()[1] is Outcome.NO_CONNECTION and not s.ends[1].weak
+        s.done()
+    play(scene)
+
+
 # An answer that breaks off
 
 
