Let a message of a call leave only until its receivers may forget its key

A keyed message that may have run may be sent again only while its first call's window holds at the receiver. It was asked when the call was decided; its connection may then take the whole dial time to come up, the record its sync, and the last gate its moment, and with a window of 1 s it is over by then. A message can now carry the time until when it may leave, looked at with nothing between it and the first byte; past it, it goes back unsent, and the others of its call leave.

test_call_whose_key_may_be_forgotten_by_then_does_not_leave: AttributeError without the field, and with the look taken out `[] == [('a', <Outcome.NOT_SENT>)]` never comes (TimeoutError). Who makes the calls has to set the time.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -104,12 +104,18 @@
             self.go_on(call, connection)
 
     def go_on(self, call: Call, connection: Connection) -> None:
-        """What was told since the call was decided binds it, too, on whichever connection it came here."""
+        """What was told since the call was decided binds it, too, on whichever connection it came here; and
+        so does the time that this took."""
+        now = self.clock()
+        if any(0 < item.leave_by_us < now for item in call.open.values()):
+            for item in [x for x in call.open.values() if 0 < x.leave_by_us < now]:
+                self.tell(call, item, Result(Outcome.NOT_SENT))
+            self.arm(call)
         if self.where.get(call.target) != connection.where:
             # Drained while the connection was coming up: what was queued for it must not leave any more.
             self.finish(call, Result(Outcome.NOT_SENT))
             connection.close()
-        elif not call.open or self.clock() < self.waits.get(call.place, 0):
+        elif not call.open or now < self.waits.get(call.place, 0):
             self.finish(call, Result(Outcome.NOT_SENT))
             self.keep(connection, call.target)
         else:
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -35,6 +35,8 @@
     until_us: int
     at_end: bool = False
     """Its own time ends then, and it goes nowhere else: the others of its call can wait on."""
+    leave_by_us: int = 0
+    """When it may have run before: after this its receivers may have forgotten its key. 0: at any time."""
 
 
 @dataclass(slots=True)
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -673,3 +673,31 @@
 
 
 # What may leave only until a moment
+
+
+def test_call_whose_key_may_be_forgotten_by_then_does_not_leave(target: Target) -> None:
+    """The receiver's window for repeats may end while the connection comes up."""
+    async def scene() -> None:
+        s = Scene(target)
+        gate = Gate(True)
+        call = s.call("a", "b")
+        now = s.clock()
+        call.items[0].leave_by_us = now + 1_000
+        call.items[1].leave_by_us = now + 60_000_000
+        s.pool.start(call)
+        await gate.held.wait()
+        await until(lambda: s.clock() > now + 1_000)
+        gate.free.set()
+        await until(lambda: s.ends)
+        assert [(e.message, e.outcome) for e in s.ends] == [("a", Outcome.NOT_SENT)]
+        side = target.accept()
+        assert b"X-Correlation-Id: b" in request_on(side)
+        side.sendall(OK)
+        await until(lambda: len(s.ends) == 2)
+        late = s.call("c")
+        late.items[0].leave_by_us = s.clock() - 1
+        s.pool.start(late)
+        assert s.outcomes()[2:] == [Outcome.NOT_SENT] and not readable(side)
+        s.done()
+        s.pool.close()
+    play(scene)
