Give a shared call up soon after one of its messages ran out of time, before it counts for none

Ruled out, by the traces: a notice that came late (each was accepted within 3 ms), half a status line taken for a delivery (one call, not lost), a restart (no restart of that forwarder), an answer after the time that the call stated (3.1 s of 4.0 s). Lines: Pool.timed_out and arm, which let the others wait on for as long as they liked. Test: test_shared_call_is_not_out_once_the_platform_holds_one_of_its_messages_to_be_over, red without it (assert 999.998 <= 0.5).

--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -54,6 +54,8 @@
     batched: bool = False
     rendered: int = 0
     """Messages that its bytes hold."""
+    over_us: int = 0
+    """When it is given up though some of its messages could wait on; 0: not known yet."""
     begun: bool = False
     """Some of its answer has come."""
     open: dict[str, Item] = field(default_factory=dict)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -252,6 +252,33 @@
     asyncio.run(scene())
 
 
+def test_shared_call_is_not_out_once_the_platform_holds_one_of_its_messages_to_be_over() -> None:
+    """That is 300 ms after the message's time. Its endpoint, which hung, may answer just then: what it says of
+    the others counted for the forwarder, and for nobody else."""
+    async def scene() -> None:
+        ends: list[i.Ended] = []
+        peer = await Peer(hang).start()
+        p = pool(ends)
+        p.serving({1: Address("127.0.0.1", peer.port)})
+        now = Clock()()
+        last = now + 300_000
+        p.start(Call(1, (7, -1), now, [Item("long", 0, None, b"", now + 10**9),
+                                       Item("short", 0, None, b"", last, at_end=True),
+                                       Item("later", 0, None, b"", last + 10**7, at_end=True)]))
+        request = (await peer.got(1))[0]
+        assert float(request.headers["x-time-left"]) <= 0.5
+        async with asyncio.timeout(10):
+            while len(ends) < 3:
+                await asyncio.sleep(0.005)
+        assert [(e.message, e.outcome) for e in ends] == [
+            ("short", i.Outcome.TIMED_OUT), ("long", i.Outcome.TIMED_OUT), ("later", i.Outcome.TIMED_OUT)]
+        assert p.out == 0 and not p.calls
+        while p.all:
+            await asyncio.sleep(0.005)
+        p.close()
+    asyncio.run(scene())
+
+
 def test_connections_are_used_again_and_closed_on_demand() -> None:
     async def scene() -> None:
         ends: list[i.Ended] = []
