--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -253,7 +253,7 @@
 
 
 def test_shared_call_is_not_out_once_the_platform_holds_one_of_its_messages_to_be_over() -> None:
-    """That is 300 ms after the message's time. Its endpoint, which hung, may answer just then: what it says of
+    """That is 300 ms after its time. An endpoint that hung may answer just then: what it says of
     the others counted for the forwarder, and for nobody else."""
     async def scene() -> None:
         ends: list[i.Ended] = []
