Treat a keyed message as once-only when its first call's window no longer surely holds

Cause: `may_repeat` allowed a repeat until the very end of the window, counted from the first call's send, though the repeat still had its own way to go; and a message whose window was over was refused, so that its client handed it in again under a new id, to be run a second time.

Change: a repeat is decided with 50 ms of the window left (what the protocol adds to each limit on sockets), and a keyed message that may have run is refused only where its client's return, a second off at least, still falls into the window. Else it is failed. Cost: clients that would have come back after the window, or in its last second, do not.

--- a/lemonshunt/choice/books.py
+++ b/lemonshunt/choice/books.py
@@ -19,6 +19,7 @@
 SHARE_START = 1.0  # even shares of a limit that each of very many takes at first
 SHARE_ROOM = 3.0  # over the number of forwarders: so many times more where few tell each more of the limit
 IDLE_LEAST_US = 200_000  # a connection without use for longer counts as idle
+WIRE_US = 50_000  # what the protocol grants each limit on sockets: a repeat may be on its way for so long
 ASK_AGAIN_US = 500_000  # first pause before asking for the list again; doubles up to eight times this
 
 
@@ -107,9 +108,14 @@
 
     def may_repeat(self, m: Message) -> bool:
         """Rule 2: whether a further attempt is allowed at all."""
-        keyed = m.cls.effect is i.Effect.KEYED and self.now - m.ran_at < m.cls.window_us
         free = m.ran_at < 0 or m.cls.effect is i.Effect.REPEATABLE
-        return m.attempts < min(m.most, self.s.max_attempts) and (free or keyed)
+        return m.attempts < min(m.most, self.s.max_attempts) and (free or self.window_left(m) > 0)
+
+    def window_left(self, m: Message) -> int:
+        """So long a repeat of a keyed message that may have run may still leave: its target counts the window
+        from when the first call came, which is no sooner than that was sent."""
+        keyed = m.cls.effect is i.Effect.KEYED and m.ran_at >= 0
+        return max(0, m.ran_at + m.cls.window_us - WIRE_US - self.now) if keyed else 0
 
     def expected(self, place: Place, cls: i.MessageClass) -> float:
         """The expected call: decayed mean, seeded from the class aim, easing back while nothing is out."""
--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -87,10 +87,12 @@
 
 
 def answer(b: Books, m: Message) -> None:
-    """The only place that gives final answers. Refuse where a new try does no harm, else fail."""
+    """The only place that gives final answers. Refuse where a new try does no harm, else fail. A keyed one
+    that may have run does none while its client comes back within the window."""
+    wait = retry_after(b, m)
     safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
-        m.cls.effect is i.Effect.KEYED and m.cls.scope is i.Scope.ALL)
-    b.actions.append(i.Refuse(m.id, retry_after(b, m)) if safe else i.Fail(m.id))
+        m.cls.scope is i.Scope.ALL and max(wait, LEAST_AWAY_US) < b.window_left(m))
+    b.actions.append(i.Refuse(m.id, wait) if safe else i.Fail(m.id))
     if m.key is not None and b.s.ends_told:
         owe(b, m.id, m.key)
     over(b, m)
--- /dev/null
+++ b/tests/test_repeat_window.py
@@ -0,0 +1,190 @@
+"""A keyed message that may have run goes out again only while its first call's window surely holds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
+from lemonshunt.choice.books import WIRE_US
+from lemonshunt.choice.giving import LEAST_AWAY_US
+from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.engine import Clock, Engine
+from lemonshunt.net.store import Rules, Store, Taken
+from lemonshunt.wirehost import settings as read_settings
+from tests.disk import Disk
+from tests.scripts import MS, S, ask, end, finals, sends, settings, started
+from tests.sockets import OK, PATIENCE, SETTINGS, Peer, Platform, always
+from tests.test_recovery import opened, taken
+
+FULL, FAILED, LATE = i.Outcome.FULL, i.Outcome.FAILED, i.Outcome.TIMED_OUT
+ONE = (i.TargetEntry(1, 10, "north", "plain"),)
+WINDOW = 1 * S
+
+
+def short(window: int = WINDOW, scope: i.Scope = i.Scope.ALL) -> dict[str, object]:
+    """Settings with one keyed class whose window is no longer than a client's shortest absence."""
+    return {"classes": (i.MessageClass("keyed", 2 * S, 20 * S, i.Effect.KEYED, scope, window),
+                        i.MessageClass("safe", 2 * S, 20 * S))}
+
+
+def failed_once(d: Dispatcher, at: int, then: i.Outcome = FAILED) -> list[i.Action]:
+    """One keyed message whose first call is sent at 0 and ends so at that time."""
+    first = sends(d.handle(0, [ask("m", cls="keyed", due=20 * S)]))[0]
+    return d.handle(at, [end(first, then, took=at, weak=True)])  # weak: no outage in the way of a repeat
+
+
+# What is decided
+
+
+@pytest.mark.parametrize("at, again", [
+    (300 * MS, True), (WINDOW - WIRE_US - 1, True), (WINDOW - WIRE_US, False), (WINDOW, False)])
+@pytest.mark.parametrize("how", [FAILED, LATE, i.Outcome.RESET, i.Outcome.SPOILT, i.Outcome.CANCELED])
+def test_a_repeat_is_decided_only_with_time_left_for_its_way(at: int, again: bool, how: i.Outcome) -> None:
+    d = started(ONE, **short())
+    actions = failed_once(d, at, how)
+    assert bool(sends(actions)) is again
+    assert finals(actions) == ([] if again else [i.Fail("m")])
+
+
+def test_the_window_runs_from_the_first_call_that_may_have_run_and_from_no_later_one() -> None:
+    d = started(ONE, **short())
+    first = sends(d.handle(0, [ask("m", cls="keyed", due=20 * S)]))[0]
+    never = sends(d.handle(400 * MS, [end(first, i.Outcome.NO_CONNECTION, weak=True)]))[0]  # ran not
+    ran = sends(d.handle(800 * MS, [end(never, FAILED, 1, weak=True)]))  # that was sent at 0.4 s
+    assert ran
+    assert not finals(d.handle(1300 * MS, [i.TimerDue("look")]))
+    actions = d.handle(1350 * MS, [end(ran[0], FAILED, 2, weak=True)])  # this one's own runs to 1.8 s
+    assert not sends(actions) and finals(actions) == [i.Fail("m")]
+
+
+def test_past_its_window_a_keyed_message_is_failed_and_never_refused() -> None:
+    """Refused, it would come back from its client under a new id and run a second time."""
+    d = started(ONE, **short())
+    first = sends(d.handle(0, [ask("m", cls="keyed", due=20 * S)]))[0]
+    d.handle(100 * MS, [end(first, FAILED), i.Listed(i.ListKind.WHOLE, ())])  # nowhere to go
+    given = [a for t in range(120 * MS, 3 * S, 20 * MS) for a in finals(d.handle(t, [i.TimerDue("look")]))]
+    assert given == [i.Fail("m")]
+
+
+@pytest.mark.parametrize("window, final", [
+    (LEAST_AWAY_US, i.Fail), (LEAST_AWAY_US + WIRE_US + 300 * MS, i.Fail), (10 * S, i.Refuse)])
+def test_a_client_that_would_come_back_after_the_window_is_not_sent_away(window: int, final: type) -> None:
+    """All its tries spent early, a message may be refused only where the client's return is in the window."""
+    d = started(ONE, max_attempts=1, **short(window))
+    assert [type(a) for a in finals(failed_once(d, 300 * MS))] == [final]
+
+
+@pytest.mark.parametrize("scope", [i.Scope.ZONE, i.Scope.TARGET])
+def test_a_key_that_other_targets_do_not_know_is_never_refused_once_it_may_have_run(scope: i.Scope) -> None:
+    d = started(ONE, max_attempts=1, **short(10 * S, scope))
+    assert finals(failed_once(d, 300 * MS)) == [i.Fail("m")]
+
+
+# Over restarts and hand-overs
+
+
+@pytest.mark.parametrize("at, again", [(-900 * MS, True), (-WINDOW, False), (-3 * S, False)])
+def test_a_restart_counts_from_the_first_call_of_before(at: int, again: bool) -> None:
+    now = 50 * S
+    d = Dispatcher(settings(**short()), 7, now)
+    actions = d.handle(now, [i.Listed(i.ListKind.WHOLE, ONE), i.Recalled(
+        "m", 10, "keyed", now + 15 * S, attempts=1, ran_at_us=now + at, ran_on=1, cut_off=True)])
+    assert bool(sends(actions)) is again and finals(actions) == ([] if again else [i.Fail("m")])
+
+
+@pytest.mark.parametrize("at, again", [(600 * MS, True), (WINDOW, False)])
+def test_a_call_that_was_out_at_a_hand_over_keeps_its_time(at: int, again: bool) -> None:
+    old = started(ONE, **short())
+    first = sends(old.handle(0, [ask("m", cls="keyed", due=20 * S)]))[0]
+    memory = json.loads(json.dumps(old.memory({("m", 0)})))
+    d = Dispatcher(settings(**short()), 8, 500 * MS)
+    told = [i.Listed(i.ListKind.SAVED, ONE), i.Recalled("m", 10, "keyed", 20 * S, attempts=1),
+            i.Remembered(memory)]
+    assert not sends(d.handle(500 * MS, told))  # its call is still out at the process before
+    actions = d.handle(at, [end(first, i.Outcome.RESET, took=at)])
+    assert bool(sends(actions)) is again and finals(actions) == ([] if again else [i.Fail("m")])
+
+
+def configured(folder: Path, platform: Platform, window_us: int) -> Config:
+    made = {**SETTINGS, "services": [{**s, "window_us": window_us} for s in SETTINGS["services"]]}
+    hosts = tuple(host(h) for h in platform.hosts.values())
+    return Config("n", Address("127.0.0.1", 0), Address("127.0.0.1", platform.port), folder, 1, 192, 256,
+                  3_000_000, HostList(1, True, hosts), read_settings(made), ("x0", "x1"))
+
+
+@pytest.mark.parametrize("ago, window, again", [(S, S, False), (S, 60 * S, True)])
+def test_a_repeat_after_a_kill_goes_out_only_within_the_journaled_window(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ago: int, window: int, again: bool) -> None:
+    """Killed with a call out: it may have run when the journal says it left. The start reads that time, and
+    the class it was taken on under, from the file."""
+    monkeypatch.setattr("lemonshunt.net.stopping.LISTEN_S", 0.0)
+
+    async def scene() -> None:
+        platform = Platform()
+        await platform.start()
+        peer = await Peer(always(OK)).start()
+        platform.host("s1", peer.port)
+        config = configured(tmp_path, platform, window)
+        store = Store(tmp_path, 3_000_000)
+        store.settle(Rules(6, config.settings.classes))
+        e = Engine(config)  # for its clock
+        now = e.clock()
+        e.store.let_go()
+        m = Taken("m", "order", 7, now + 50 * S, "key-m", "acme", b"hello")
+        store.take(m)
+        store.attempt(m, 0, now - ago, "s1")
+        store.flush()
+        store.let_go()  # as SIGKILL leaves it: no outcome, no end
+        e = Engine(config)
+        run = asyncio.create_task(e.run())
+        if again:
+            call = (await peer.got(1))[0]
+            assert call.headers["idempotency-key"] == "key-m"
+        else:
+            assert (await platform.notice("m"))["state"] == "failed"
+            assert not peer.requests
+        e.stop()
+        async with asyncio.timeout(PATIENCE):
+            await run
+        assert len(peer.requests) == (1 if again else 0)
+    asyncio.run(scene())
+
+
+def test_a_clock_that_was_kept_by_small_steps_counts_on_after_a_restart() -> None:
+    """On the same boot the monotonic clock tells how much time has passed. Read anew, a wall clock that was
+    slewed back by 0.4 s would give a window of 1 s another 0.4 s."""
+    disk = Disk()
+    store = opened(disk)
+    store.take(taken("a"))
+    store.attempt(store.messages["a"], 0, 5 * S, "s1")
+    store.flush()
+    assert store.clock is not None
+    base = store.clock[0]
+    for slewed in (-400 * MS, 400 * MS):
+        disk.killed()
+        back = opened(disk, base=base + slewed)
+        assert back.clock is not None and back.clock[0] == base and not back.report.shifted_us
+        assert back.messages["a"].out == {0: (5 * S, "s1")}
+
+
+def test_the_engine_goes_by_the_clock_that_its_journal_goes_by(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        platform = Platform()
+        platform.port = 9
+        before = Engine(configured(tmp_path, platform, S))
+        base = before.clock.base // 1000
+        before.store.let_go()
+
+        slewed = Clock()
+        slewed.base = before.clock.base - 400 * MS * 1000
+        monkeypatch.setattr("lemonshunt.net.engine.Clock", lambda: slewed)
+        after = Engine(configured(tmp_path, platform, S))
+        assert after.clock.base // 1000 == base
+        after.store.let_go()
+    asyncio.run(scene())
