--- a/lemonshunt/journal/recovery.py
+++ b/lemonshunt/journal/recovery.py
@@ -158,6 +158,8 @@
             base_us = base
         if before == boot:
             set_by = base_us - base
+            if abs(set_by) < LEAST_SHIFT_US:
+                base_us = base  # the monotonic clock tells how much time has passed: it is gone by still
         else:  # time has not run backwards: so much the clock was set back at least
             set_by = min(0, base_us + mono_us - latest(state))
         if abs(set_by) >= LEAST_SHIFT_US:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -53,8 +53,8 @@
         s = replace(config.settings, ends_told=True)
         self.store = Store(config.state, config.disk_bytes, write=successor is None,
                            base_us=self.clock.base // 1000, worker=sync_thread() if config.power else None)
-        if successor is not None and self.store.clock is not None:
-            self.clock.base = self.store.clock[0] * 1000  # what it took over goes by that one's clock
+        if self.store.clock is not None:
+            self.clock.base = self.store.clock[0] * 1000  # what is in the journal goes by that one
         self.dispatcher = Dispatcher(s, config.seed, self.clock())
         self.server = Server(s, self.clock, 0, self.hand_in, self.ready)
         self.pool = Pool(self.clock, self.post, config.report_fields, s.conn_idle_us, s.dial_timeout_us, 0)
