Give what a restart finds untried its first call before it makes way, and tell why any goes untried

And all were booked against their tenant's share in one moment, which put most of them behind everybody else.

Change: one found untried does not make way before its first call; what is recalled is not booked against shares (it was when it was taken on). Each Refuse and Fail carries its cause; one of a message with no call is counted in the summary line as 'untried: <cause>' and logged by its id at the trace level.

The rest of the new file forces orders in which the code was right: records against answers, calls and notices; ends against a late 200, a deadline, a freeze, a kill, a lost 204.

--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -22,7 +22,7 @@
     """Take a message. One of an unknown class is failed: its effect is not known."""
     cls = b.classes.get(event.class_name)
     if cls is None:
-        b.actions.append(i.Fail(event.message))
+        b.actions.append(i.Fail(event.message, "unknown class"))
         return
     take(b, event, cls)
 
@@ -31,7 +31,7 @@
     """Go on with a message of before a restart: what it may do depends on what it did till then."""
     cls = event.cls or b.classes.get(event.class_name)
     if cls is None:
-        b.actions.append(i.Fail(event.message))
+        b.actions.append(i.Fail(event.message, "unknown class"))
         return
     m = take(b, event, cls)
     m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
@@ -44,8 +44,10 @@
 def take(b: Books, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
     b.taken += 1
     key = event.key if cls.in_order else None
-    m = Message(event.message, event.destination, cls, event.due_us, b.now, b.taken, key,
-                over_share(b, event.tenant), b.s.max_attempts)
+    # What was held before a start came over a while: all at once it would be far beyond any tenant's share.
+    beyond = isinstance(event, i.Arrived) and over_share(b, event.tenant)
+    m = Message(event.message, event.destination, cls, event.due_us, b.now, b.taken, key, beyond,
+                b.s.max_attempts)
     if b.s.balancers > FEW:
         m.keep_until = m.due - int((1 - KEEP_LEAST) * cls.deadline_us)
     b.messages[m.id] = m
@@ -86,13 +88,13 @@
         next_in(b, line)
 
 
-def answer(b: Books, m: Message) -> None:
+def answer(b: Books, m: Message, cause: str) -> None:
     """The only place that gives final answers. Refuse where a new try does no harm, else fail. A keyed one
     that may have run does none while its client comes back within the window."""
     wait = retry_after(b, m)
     safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
         m.cls.scope is i.Scope.ALL and max(wait, LEAST_AWAY_US) < b.window_left(m))
-    b.actions.append(i.Refuse(m.id, wait) if safe else i.Fail(m.id))
+    b.actions.append(i.Refuse(m.id, wait, cause) if safe else i.Fail(m.id, cause))
     if m.key is not None and b.s.ends_told:
         owe(b, m.id, m.key)
     over(b, m)
@@ -143,9 +145,12 @@
         opens = b.now if opens >= NEVER else opens
         jam = any(m.cls.aim_us / 2 < age(m, b.now) <= m.cls.aim_us for m in pile)
         for m in pile:
-            if opens >= b.drop_at(m) or not b.may_repeat(m) or (
-                    jam and b.now > fades_at(m, b.s.late_halves)):
-                answer(b, m)
+            if not b.may_repeat(m):
+                answer(b, m, "may not be sent again")
+            elif opens >= b.drop_at(m):
+                answer(b, m, "no call could end in time" if b.now >= b.drop_at(m) else "no share in time")
+            elif jam and b.now > fades_at(m, b.s.late_halves):
+                answer(b, m, "makes way for fresh ones")
     if len(b.messages) > BUFFER_MARK * b.s.max_open and b.held.piles:
         shed(b)
 
@@ -156,7 +161,10 @@
 
 
 def fades_at(m: Message, late_halves: bool) -> float:
-    """When less than `LATE_LEAST` of its worth is left, and it may be given up for that."""
+    """When less than `LATE_LEAST` of its worth is left, and it may be given up for that. What a start found
+    untried lost its time to the restart: it has its first call before."""
+    if m.before and not m.attempts:
+        return m.due
     aim, most = m.cls.aim_us, m.cls.deadline_us - m.cls.aim_us
     if late_halves:
         after = aim * (1 - math.log2(LATE_LEAST))
@@ -176,4 +184,4 @@
         b.actions.append(i.Note(f"buffer nearly full: destination {worst} takes on no more"))
     if len(b.held.piles[worst]) > 1:
         for m in pile[-max(1, int(len(b.messages) - BUFFER_MARK * b.s.max_open)):]:
-            answer(b, m)
+            answer(b, m, "buffer nearly full")
--- a/lemonshunt/interface.py
+++ b/lemonshunt/interface.py
@@ -333,11 +333,14 @@
 class Refuse:
     message: str
     wait_us: int
+    cause: str = field(default="", compare=False, repr=False)
+    """Why it is given up, for the log."""
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     message: str
+    cause: str = field(default="", compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections import Counter, OrderedDict
 from dataclasses import replace
@@ -25,6 +26,7 @@
     Clock,
     level,
     log,
+    trace,
 )
 from lemonshunt.net.discovery import NO_VERSION, Notices, Watch
 from lemonshunt.net.handover import Lock, Predecessor, Successor
@@ -141,11 +143,13 @@
                     self.send(a, now, forming, calls)
                 case i.Refuse() if a.message in self.store.messages:
                     self.counts["returned"] += 1
+                    self.untried(a, now)
                     self.figures.end(self.figures.throttled, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "returned", -(-a.wait_us // 1000))
                     self.ended(a.message, "returned")
                 case i.Fail() if a.message in self.store.messages:
                     self.counts["given up"] += 1
+                    self.untried(a, now)
                     self.figures.end(self.figures.faulted, self.store.messages[a.message].class_name)
                     self.store.owe(a.message, "failed", 0)
                     self.ended(a.message, "failed")
@@ -165,6 +169,16 @@
         else:  # nobody waits for what only came to its end: that costs no sync
             self.store.flush()
 
+    def untried(self, a: i.Refuse | i.Fail, now: int) -> None:
+        """Taken on and given up with no call: one count for each cause, and a line of the message."""
+        m = self.store.messages[a.message]
+        if m.attempts:
+            return
+        self.counts[f"untried: {a.cause}"] += 1
+        if trace.isEnabledFor(logging.INFO):
+            trace.info("given up untried", extra={"message_id": m.id, "cause": a.cause,
+                                                  "left_ms": (m.due_us - now) // 1000})
+
     def leave(self, ok: bool, arriving: dict[str, tuple[Handed, Asker]],
               calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
         """What a round decided is kept, or cannot be: answers and calls leave, or do not."""
--- /dev/null
+++ b/tests/test_crossing_restart.py
@@ -0,0 +1,413 @@
+"""A restart, an end and a record, each crossing what it can: forced, and not left to chance."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
+from lemonshunt.journal.recovery import look
+from lemonshunt.journal.state import State
+from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.engine import Engine
+from lemonshunt.wirehost import settings as read_settings
+from tests.scripts import MS, S, ask, end, finals, sends, settings
+from tests.sockets import (
+    PATIENCE,
+    SETTINGS,
+    Answer,
+    Client,
+    Peer,
+    Platform,
+    Request,
+    always,
+    free_port,
+    hang,
+)
+
+OK, FULL = i.Outcome.DELIVERED, i.Outcome.FULL
+ONE = (i.TargetEntry(1, 10, "north", "plain"),)
+MANY = 20
+Final = i.Refuse | i.Fail
+
+
+# What a restart finds untried
+
+
+def go_on(d: Dispatcher, now: int, out: list[i.Send], until: int) -> tuple[list[str], list[Final]]:
+    """Calls are answered in 20 ms. Returns what was sent and what was given up, in its order."""
+    sent: list[str] = [s.message for s in out]
+    given: list[Final] = []
+    while now < until:
+        now += 20 * MS
+        last = {s.message: d.messages[s.message].attempts - 1 for s in out}
+        actions = d.handle(now, [end(s, OK, last[s.message], 20 * MS) for s in out] or [i.TimerDue("look")])
+        out = sends(actions)
+        sent += [s.message for s in out]
+        given += finals(actions)
+    return sent, given
+
+
+@pytest.mark.parametrize("balancers", [2, 300])
+def test_what_a_restart_finds_untried_has_its_call_though_fresh_ones_near_their_aims(balancers: int) -> None:
+    """Late by the restart, it used to make way in a jam with over half of its time left: given up untried."""
+    now = 50 * S
+    d = Dispatcher(settings(balancers=balancers), 7, now)
+    told = [i.Recalled(f"old{n}", 10, "safe", now + 3200 * MS) for n in range(MANY)]  # 2.8 of 6 s are gone
+    out = sends(d.handle(now, [i.Listed(i.ListKind.SAVED, ONE), *told]))
+    d.handle(now + 20 * MS, [end(out[0], FULL, wait_us=900 * MS)])
+    fresh = [ask(f"new{n}", due=now + 5200 * MS) for n in range(4)]  # and near their aim of 2 s
+    assert not finals(d.handle(now + 40 * MS, fresh))
+    sent, given = go_on(d, now + 40 * MS, [], now + 3200 * MS)
+    assert {out[0].message, *sent} == {m.message for m in (*told, *fresh)}
+    assert all(a.message == out[0].message for a in given)  # that one had its call
+
+
+def test_what_was_tried_before_the_restart_makes_way_as_ever() -> None:
+    now = 50 * S
+    d = Dispatcher(settings(), 7, now)
+    told = [i.Recalled(f"old{n}", 10, "safe", now + 3200 * MS, attempts=1) for n in range(MANY)]
+    out = sends(d.handle(now, [i.Listed(i.ListKind.SAVED, ONE), *told]))
+    d.handle(now + 20 * MS, [end(out[0], FULL, 1, wait_us=2 * S)])
+    d.handle(now + 40 * MS, [ask(f"new{n}", due=now + 5200 * MS) for n in range(4)])
+    _, given = go_on(d, now + 40 * MS, [], now + 1500 * MS)
+    assert {(type(a), a.cause) for a in given} == {(i.Refuse, "makes way for fresh ones")}
+    assert len(given) == MANY
+
+
+def test_what_a_restart_finds_is_not_taken_for_a_burst_beyond_its_tenant_s_share() -> None:
+    """It came over seconds. Counted as come at once, it went behind all others, and was given up untried."""
+    now = 50 * S
+    d = Dispatcher(settings(balancers=1), 7, now)
+    told = [i.Recalled(f"old{n}", 10, "safe", now + 2 * S, tenant="small") for n in range(MANY)]
+    out = sends(d.handle(now, [i.Listed(i.ListKind.SAVED, ONE), *told]))
+    assert not any(m.over_share for m in d.messages.values())
+    later = [ask(f"new{n}", due=now + 6 * S, tenant="big") for n in range(MANY)]
+    actions = d.handle(now + 20 * MS, [end(out[0], OK, took=20 * MS), *later])
+    sent, given = go_on(d, now + 20 * MS, sends(actions), now + 2 * S)
+    first = [out[0].message, *sent][:MANY]
+    assert not given and sorted(first) == sorted(m.message for m in told)
+    spent = d.handle(now + 2 * S, [ask(f"more{n}", 99, due=now + 9 * S, tenant="small") for n in range(MANY)])
+    assert not finals(spent) and any(m.over_share for m in d.messages.values())  # what comes now counts
+
+
+# The engine in this process, over real sockets
+
+
+class Site:
+    """Two destinations, discovery and one engine that can be killed at a moment that a test picks."""
+
+    def __init__(self, folder: Path, power: bool = False, **first: object) -> None:
+        self.folder, self.power, self.port = folder, power, free_port()
+        self.platform, self.sides = Platform(), [Peer(hang), Peer(always(Answer(200)))]
+        classes = [{**s, **first} for s in SETTINGS["services"]]
+        classes += [{**classes[-1], "name": "single", "by_arrival": True}]
+        self.settings = {**SETTINGS, "services": classes,
+                         "contract": {**SETTINGS["contract"], "key_rest_us": 200_000}}
+        self.engine: Engine | None = None
+
+    async def start(self) -> Engine:
+        if not self.platform.port:
+            await self.platform.start()
+            for block, peer in enumerate(self.sides, 7):
+                await peer.start()
+                self.platform.host(f"s{block}", peer.port, block)
+        hosts = tuple(host(h) for h in self.platform.hosts.values())
+        where = [Address("127.0.0.1", port) for port in (self.port, self.platform.port)]
+        self.engine = e = Engine(Config("n", *where, self.folder, 1, 192, 256, 3_000_000,
+                                        HostList(1, True, hosts), read_settings(self.settings), ("x0", "x1"),
+                                        power=self.power))
+        self.task = asyncio.create_task(e.run())
+        await self.until(lambda: e.serving)
+        return e
+
+    async def until(self, test: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not test():
+                await asyncio.sleep(0.002)
+
+    async def kill(self) -> None:
+        """As SIGKILL: what is out is cut, and from here on nothing is written or told."""
+        e = self.engine
+        assert e is not None
+        e.closed = e.frozen = True
+        e.store.let_go()
+        self.task.cancel()
+        e.watch.pause()
+        e.notices.pause()
+        e.pool.close()
+        e.server.listener and e.server.listener.close()
+        for connection in list(e.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await asyncio.wait({self.task})
+
+    async def hand_in(self, name: str, cls: str, dest: int = 7, **more: Any) -> int:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        status, _ = await client.hand_in(name, cls, dest=dest, **more)
+        client.writer.close()
+        return status
+
+    def came(self, name: str) -> bool:
+        return any(r.headers["x-correlation-id"] == name for p in self.sides for r in p.requests)
+
+    async def passes(self, name: str) -> None:
+        """A message of another key went all the way: what could go before it had its chance."""
+        assert await self.hand_in(name, "turns", 8, X_Session_Key=name) == 202
+        await self.until(lambda: self.came(name))
+
+    def told(self, name: str) -> list[str]:
+        return [n["state"] for n in self.platform.notices if n["id"] == name]
+
+
+def play(scene: Callable[[Site], Awaitable[None]], site: Site) -> None:
+    async def run() -> None:
+        try:
+            await scene(site)
+        finally:
+            await site.kill()
+    asyncio.run(run())
+
+
+def on_disk(folder: Path) -> State:
+    state, report = look((folder / "journal").read_bytes())
+    assert not report.damaged
+    return state
+
+
+# Each record against what it precedes
+
+
+@pytest.mark.parametrize("power", [False, True])
+def test_each_record_is_in_the_file_before_what_it_precedes_leaves(tmp_path: Path, power: bool) -> None:
+    """Killed at any moment after an answer, a call or a notice, a start finds what they promise."""
+    async def scene(site: Site) -> None:
+        seen: list[tuple[str, bool]] = []
+
+        async def side(request: Request) -> Answer:
+            name = request.headers["x-correlation-id"]
+            m = on_disk(tmp_path).messages.get(name)
+            seen.append(("call", m is not None and bool(m.out)))
+            return Answer(500)
+
+        async def discovery(request: Request) -> Answer | bytes | None:
+            if request.path == "/v1/notices":
+                told = [json.loads(line)["id"] for line in request.body.splitlines()]
+                owed = on_disk(tmp_path).owed
+                seen.append(("notice", all(name in owed for name in told)))
+            return await site.platform.answer(request)
+
+        site.sides[0].handler, site.platform.handler = side, discovery
+        await site.start()
+        assert await site.hand_in("m", "pay") == 202
+        state = on_disk(tmp_path)
+        assert "m" in state.messages or "m" in state.owed or site.told("m")
+        await site.until(lambda: bool(site.told("m")))
+        assert site.told("m") == ["failed"] and seen[0] == ("call", True)
+        assert {("notice", True)} == set(seen[1:])
+    play(scene, Site(tmp_path, power))
+
+
+def test_an_answer_whose_record_is_being_synced_has_not_left(tmp_path: Path) -> None:
+    """Under `power`: neither the 202 nor the call, until the disk has said yes."""
+    async def scene(site: Site) -> None:
+        e = await site.start()
+        e.store.log.worker, real = (lambda job, done: jobs.append((job, done))), e.store.log.worker
+        jobs: list[tuple[Callable[[], None], Callable[[OSError | None], None]]] = []
+        answer = asyncio.create_task(site.hand_in("m", "pay", 8))
+        await site.until(lambda: bool(jobs))
+        assert "m" in on_disk(tmp_path).messages and not answer.done() and not site.came("m")
+        e.store.log.worker = real
+        job, done = jobs[0]
+        job()
+        done(None)
+        assert await answer == 202
+        await site.until(lambda: site.came("m"))
+    play(scene, Site(tmp_path, power=True))
+
+
+def test_a_disk_that_fills_refuses_what_comes_and_loses_nothing_of_what_it_held(tmp_path: Path) -> None:
+    async def scene(site: Site) -> None:
+        e = await site.start()
+        assert await site.hand_in("held", "turns", X_Session_Key="k") == 202
+        await site.until(lambda: site.came("held"))
+        e.store.log.most = e.store.size  # not a byte more
+        assert await site.hand_in("more", "status") == 503
+        assert await site.hand_in("other", "pay", 8) == 503 and not site.came("other")
+        await site.kill()
+        e = await site.start()
+        assert [*e.store.messages] == ["held"] and e.store.messages["held"].ran_at_us >= 0
+        site.sides[0].handler = always(Answer(200))
+        await site.until(lambda: not e.store.messages)
+    play(scene, Site(tmp_path))
+
+
+# What an end crosses
+
+
+def test_no_end_is_given_while_a_call_is_out_so_none_can_cross_its_200() -> None:
+    due = 6 * S
+    for cls in ("safe", "keyed", "once"):
+        d = Dispatcher(settings(), 7, 0)
+        send = sends(d.handle(0, [i.Listed(i.ListKind.SAVED, ONE), ask(cls, cls=cls, due=due)]))[0]
+        assert not finals(d.handle(due + S, [i.TimerDue("look")]))  # the pool's own time-out ends it
+        assert not finals(d.handle(due + S, [end(send, OK, took=6 * S)])) and cls not in d.messages
+
+
+def test_a_delivery_in_the_round_of_its_deadline_is_a_delivery(tmp_path: Path) -> None:
+    """The 200 and the time that is up are read in one round, in either order."""
+    async def scene(site: Site) -> None:
+        e = await site.start()
+        for name, late in (("before", False), ("after", True)):
+            assert await site.hand_in(name, "pay", left="50") == 202
+            await site.until(lambda name=name: site.came(name))  # type: ignore[misc]
+            m = e.dispatcher.messages[name]
+            now = e.clock()
+            m.due = e.store.messages[name].due_us = now - 1
+            answered = i.Ended(name, 0, e.numbers["s7"], OK, 5, closed=True)
+            e.events += [i.TimerDue("look"), answered] if late else [answered, i.TimerDue("look")]
+            e.round()
+            assert name not in e.store.messages and not e.store.owed
+        assert e.figures.fulfilled["pay"] == 2 and not site.platform.notices
+    play(scene, Site(tmp_path))
+
+
+@pytest.mark.parametrize("way", ["delivered", "failed", "refused", "timed out", "cut off", "owed at a kill",
+                                 "its 204 lost"])
+def test_a_key_waits_for_the_end_of_the_one_before_by_whatever_way(tmp_path: Path, way: str) -> None:
+    """The second may go as soon as the first is over, and goes to another destination, whose way is free."""
+    gate, lost = asyncio.Event(), [way == "its 204 lost"]
+
+    async def side(request: Request) -> Answer | None:
+        if way in ("delivered", "cut off"):
+            await gate.wait()
+            return Answer(200)
+        if way == "timed out":
+            await hang(request)
+        if way == "refused":
+            return Answer(429, {"X-RateLimit-Wait-Ms": "60000"})
+        return Answer(500)
+
+    async def scene(site: Site) -> None:
+        async def discovery(request: Request) -> Answer | bytes | None:
+            answer = await site.platform.answer(request)
+            if request.path == "/v1/notices" and lost[0] and site.platform.notices:
+                await gate.wait()
+                lost[0] = False
+                return None  # it has the notice, and its answer is lost
+            return answer
+
+        site.sides[0].handler, site.platform.handler = side, discovery
+        site.platform.accepts = way in ("delivered", "cut off", "its 204 lost")
+        await site.start()
+        cls = "turns" if way in ("refused", "timed out", "cut off", "delivered") else "single"
+        left = "0.7" if way in ("refused", "timed out") else "50"
+        assert await site.hand_in("first", cls, left=left, X_Session_Key="k") == 202
+        assert await site.hand_in("second", "turns", 8, X_Session_Key="k") == 202
+        await site.until(lambda: site.came("first"))
+        if way == "cut off":
+            await site.kill()
+            await site.start()
+            await site.until(lambda: sum(r.headers["x-correlation-id"] == "first"
+                                         for r in site.sides[0].requests) == 2)
+        elif way == "its 204 lost":
+            await site.until(lambda: bool(site.told("first")))
+        elif way != "delivered":
+            await site.until(lambda: bool(site.engine and site.engine.store.owed))
+        if way == "owed at a kill":
+            await site.kill()
+            await site.start()
+        await site.passes("free")
+        assert not site.came("second")
+        gate.set()
+        site.platform.accepts = True
+        await site.until(lambda: site.came("second"))
+        ends = {"delivered": 0, "cut off": 0, "its 204 lost": 2}.get(way, 1)
+        state = "returned" if way == "refused" else "failed"
+        assert len(site.told("first")) == ends or way == "timed out"
+        assert way == "timed out" or set(site.told("first")) <= {state}
+    play(scene, Site(tmp_path))
+
+
+def test_a_key_rests_after_a_call_that_was_cut_by_a_kill(tmp_path: Path) -> None:
+    """It may still run: the next of its key leaves a rest later than the start, and the same one as well."""
+    async def scene(site: Site) -> None:
+        await site.start()
+        assert await site.hand_in("first", "single", X_Session_Key="k") == 202
+        assert await site.hand_in("second", "turns", 8, X_Session_Key="k") == 202
+        await site.until(lambda: site.came("first"))
+        await site.kill()
+        e = await site.start()
+        began = e.round_us  # no round of the new process was earlier
+        site.engine = e
+        line = e.dispatcher.lines["k"]
+        assert line.rest_until >= e.dispatcher.now - 10 * S
+        await site.until(lambda: site.came("second"))
+        assert site.told("first") == ["failed"] and len(site.sides[0].requests) == 1
+        assert e.clock() >= line.rest_until and began > 0
+    play(scene, Site(tmp_path))
+
+
+# Given up untried
+
+
+def test_what_is_given_up_untried_is_counted_and_logged_with_its_cause(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def scene(site: Site) -> None:
+        site.sides[0].handler = always(Answer(429, {"X-RateLimit-Wait-Ms": "60000"}))
+        e = await site.start()
+        with caplog.at_level(logging.INFO, "lemonshunt.trace"):
+            assert await site.hand_in("tried", "status", left="50") == 202
+            await site.until(lambda: site.came("tried"))
+            assert await site.hand_in("untried", "status", left="0.3") == 202
+            await site.until(lambda: bool(site.told("untried")))
+        lines = [r for r in caplog.records if r.getMessage() == "given up untried"]
+        assert [(r.__dict__["message_id"], r.__dict__["cause"]) for r in lines] == [
+            ("untried", "no call could end in time")]
+        assert e.counts["untried: no call could end in time"] == 1 and e.counts["returned"] == 1
+        assert e.figures.throttled["status"] == 1  # the figures mean what they did
+    play(scene, Site(tmp_path))
+
+
+# SIGTERM
+
+
+@pytest.mark.parametrize("answer, told", [(Answer(200), []), (Answer(500), ["failed"])])
+def test_an_answer_after_the_freeze_is_in_the_journal_that_the_next_start_reads(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: Answer, told: list[str]) -> None:
+    """Nothing new is sent any more, and what is out still ends: delivered is over, and what may have run is
+    ended by the next process and not sent again."""
+    monkeypatch.setattr("lemonshunt.net.stopping.LISTEN_S", 0.0)
+    monkeypatch.setattr("lemonshunt.net.stopping.FREEZE_S", 0.0)
+    monkeypatch.setattr("lemonshunt.net.stopping.EXIT_S", PATIENCE)
+
+    async def scene(site: Site) -> None:
+        gate = asyncio.Event()
+
+        async def side(request: Request) -> Answer:
+            await gate.wait()
+            return answer
+
+        site.sides[0].handler = side
+        e = await site.start()
+        assert await site.hand_in("m", "pay") == 202
+        await site.until(lambda: site.came("m"))
+        e.stop()
+        await site.until(lambda: e.frozen)
+        gate.set()
+        async with asyncio.timeout(PATIENCE):
+            await site.task
+        state = on_disk(tmp_path)
+        assert state.closed and bool(state.messages) is bool(told) and not any(
+            m.out for m in state.messages.values())
+        e = await site.start()
+        await site.until(lambda: site.told("m") == told and not e.store.messages and not e.store.owed)
+        assert len(site.sides[0].requests) == 1
+    play(scene, Site(tmp_path))
