Free the key of a message that is taken back after it was given up

Cause: under `power`, a message given up while its own record was synced owes an end; where its client had gone meanwhile, or the sync failed, `take_back` forgot that end and did not say so to the module. For an ordered message its key then waited for a notice that nobody posts, until the next start.

Change: `take_back` tells the module that the end is over.

Measured: test_what_is_taken_back_after_its_end_frees_its_key, red without (`not {'first': 'k'}`).

--- a/lemonshunt/net/taking.py
+++ b/lemonshunt/net/taking.py
@@ -70,7 +70,9 @@
         if handed.id in self.store.messages:
             self.store.over(handed.id)
             self.post(i.Withdrawn(handed.id))
-        self.store.told(handed.id)
+        if handed.id in self.store.owed:  # given up meanwhile: its key must not wait for a notice
+            self.store.told(handed.id)
+            self.post(i.EndTold(handed.id))
 
     def turn_away(self, handed: Handed, door: Asker, a: i.Refuse | i.Fail) -> None:
         """Given up in the round in which it came: the client hears so, and it was never taken on."""
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -17,7 +17,9 @@
 from lemonshunt.journal.state import State
 from lemonshunt.net.config import Address, Config, HostList, host
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.server import Handed
 from lemonshunt.wirehost import settings as read_settings
+from tests.disk import Hands
 from tests.scripts import MS, S, ask, end, finals, sends, settings
 from tests.sockets import (
     PATIENCE,
@@ -31,6 +33,7 @@
     free_port,
     hang,
 )
+from tests.test_killed import power_engine
 
 OK, FULL = i.Outcome.DELIVERED, i.Outcome.FULL
 ONE = (i.TargetEntry(1, 10, "north", "plain"),)
@@ -355,6 +358,50 @@
     play(scene, Site(tmp_path))
 
 
+# A message taken back
+
+
+def test_what_is_taken_back_after_its_end_frees_its_key(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Given up while its record was synced, and its client gone meanwhile: nobody is told of an end, so
+    nothing may go on waiting for that to arrive. Its key used to stand still until the next start."""
+    hands = Hands()
+
+    async def scene() -> None:
+        e = power_engine(tmp_path, hands, monkeypatch)
+        while hands.work():
+            pass
+        e.destinations.add(7)  # with no endpoint yet
+        door, other = Door(), Door()
+        e.hand_in(Handed("first", "turns", 7, e.clock() + 10**7, None, "k", "acme", False, b""), door)
+        e.round()  # held; its record is on its way to the disk
+        e.dispatcher.messages["first"].due = e.clock()
+        e.post(i.Listed(i.ListKind.CHANGES, ()))  # looks at all that is held
+        e.round()
+        assert "first" in e.store.owed and door.left is not None
+        door.left()
+        while hands.work():
+            pass
+        e.round()
+        assert not e.store.owed and not door.said and not e.dispatcher.owed
+        e.hand_in(Handed("second", "turns", 7, e.clock() + 10**7, None, "k", "acme", False, b""), other)
+        e.round()
+        assert not e.dispatcher.lines["k"].owed
+        while hands.work():
+            pass
+        e.store.let_go()
+    asyncio.run(scene())
+
+
+class Door:
+    def __init__(self) -> None:
+        self.left: Callable[[], None] | None = None
+        self.said: list[int] = []
+
+    def answer(self, status: int, text: str = "", **headers: str) -> None:
+        self.said.append(int(status))
+
+
 # Given up untried
 
 
