Let attempts that cannot leave a full disk come at doubling pauses, not all in 1.5 s

Cause: a once-only, keyed or ordered call does not leave without its record. Each such try counts as an attempt and came again after 0.25 s: with 6 allowed all were spent in 1.5 s, and a message that was never called was given up with its time left.

Change: the pause doubles with each attempt, and never outlasts its message.

Measured: test_a_disk_that_stays_full_does_not_use_up_attempts_that_make_no_call, red without (`1.25 >= 7`).

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -23,6 +23,7 @@
     FULL_LOG_US,
     MOST_GONE,
     MOST_RECENT,
+    SECOND,
     Clock,
     level,
     log,
@@ -38,7 +39,7 @@
 __all__ = ["MOST_GONE", "MOST_RECENT", "RECALL", "Clock", "Engine"]
 RECALL = 100  # messages of before that the module is told of in one round, ...
 RECALL_S = 0.01  # ... and between two such rounds
-UNKEPT_S = 0.25  # before a call that could not leave for want of its record is decided on again
+UNKEPT_S = 0.25  # before a call that could not leave for want of its record is decided on again; doubles
 
 
 def sync_thread() -> Worker:
@@ -219,10 +220,14 @@
             if m is None or ok:
                 self.post(end)
             else:
-                asyncio.get_running_loop().call_later(UNKEPT_S, self.post, end)
+                asyncio.get_running_loop().call_later(self.unkept_s(m, item.attempt), self.post, end)
         call.items = kept
         return bool(kept)
 
+    def unkept_s(self, m: Taken, attempt: int) -> float:
+        """Each one uses up an attempt: at a steady pace a full disk would use up all before it has room."""
+        return max(0.0, min(UNKEPT_S * 2.0**attempt, (m.due_us - self.clock()) / SECOND))
+
     def harmless(self, m: Taken) -> bool:
         """Whether an attempt may leave that a restart would not know of. Under `power` none does."""
         cls = self.store.class_of(m)
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -14,7 +14,7 @@
 from lemonshunt import interface as i
 from lemonshunt.choice import Dispatcher
 from lemonshunt.journal.recovery import look
-from lemonshunt.journal.state import State
+from lemonshunt.journal.state import State, Taken
 from lemonshunt.net.config import Address, Config, HostList, host
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.server import Handed
@@ -34,6 +34,7 @@
     hang,
 )
 from tests.test_killed import power_engine
+from tests.test_net import engine
 
 OK, FULL = i.Outcome.DELIVERED, i.Outcome.FULL
 ONE = (i.TargetEntry(1, 10, "north", "plain"),)
@@ -402,6 +403,51 @@
         self.said.append(int(status))
 
 
+def test_a_disk_that_stays_full_does_not_use_up_attempts_that_make_no_call(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each try that could not leave for want of its record counts as an attempt. At a steady pace all were
+    spent in a second and a half, and what had never been called was given up."""
+    async def scene() -> None:
+        e = engine(tmp_path)
+        e.round()
+        m = Taken("m", "pay", 7, e.clock() + 40 * S, None, "acme", b"")
+        e.store.take(m)
+        e.store.flush()
+        e.post(i.Recalled("m", 7, "pay", m.due_us))
+        e.store.log.most = e.store.size  # nothing more fits
+        pauses: list[float] = []
+        posted: list[i.Event] = []
+        loop = asyncio.get_running_loop()
+
+        def later(delay: float, call: Callable[..., None], *args: Any) -> Any:
+            if args and isinstance(args[0], i.Ended):
+                pauses.append(delay)
+                posted.append(args[0])
+
+        for _ in range(6):
+            with monkeypatch.context() as patched:
+                patched.setattr(loop, "call_later", later)
+                e.round()
+            e.events += posted
+            posted.clear()
+        assert len(pauses) == 6 and sum(pauses[:5]) >= 7
+        assert all(a < b for a, b in zip(pauses, pauses[1:], strict=False))
+        e.store.log.most = 3_000_000
+        e.store.close()
+    asyncio.run(scene())
+
+
+def test_no_pause_for_want_of_a_record_outlasts_its_message(tmp_path: Path) -> None:
+    async def scene() -> None:
+        e = engine(tmp_path)
+        m = Taken("m", "pay", 7, e.clock() + 3 * S, None, "acme", b"", attempts=5)
+        assert 0.25 <= e.unkept_s(m, 5) <= 3
+        m.due_us = e.clock() - 1
+        assert e.unkept_s(m, 5) == 0
+        e.store.close()
+    asyncio.run(scene())
+
+
 # Given up untried
 
 
