Wait for a silent keyed call as for a once-only one when its window has passed

Cause: a call that stays silent while later ones are answered is called off after 0.6 s or eight usual calls, so that its message is sent again. With a window of 0.5 s there is no sending again: the message failed by that, 1.4 s before its aim.

Change: the one figure `repeat_by` says until when a message may be sent again, for the gate, the final answer and this. Past it the aim must have passed before a call is called off, as for once-only messages.

--- a/lemonshunt/choice/books.py
+++ b/lemonshunt/choice/books.py
@@ -108,14 +108,15 @@
 
     def may_repeat(self, m: Message) -> bool:
         """Rule 2: whether a further attempt is allowed at all."""
-        free = m.ran_at < 0 or m.cls.effect is i.Effect.REPEATABLE
-        return m.attempts < min(m.most, self.s.max_attempts) and (free or self.window_left(m) > 0)
-
-    def window_left(self, m: Message) -> int:
-        """So long a repeat of a keyed message that may have run may still leave: its target counts the window
-        from when the first call came, which is no sooner than that was sent."""
-        keyed = m.cls.effect is i.Effect.KEYED and m.ran_at >= 0
-        return max(0, m.ran_at + m.cls.window_us - WIRE_US - self.now) if keyed else 0
+        free = m.ran_at < 0 or self.now < self.repeat_by(m)
+        return free and m.attempts < min(m.most, self.s.max_attempts)
+
+    def repeat_by(self, m: Message, sent_at: int = -NEVER) -> int:
+        """Until when a message that may have run, or may by a call sent then, can be sent again: its target
+        counts a key's window from when the first call came, which is no sooner than that was sent."""
+        if m.cls.effect is not i.Effect.KEYED:
+            return NEVER if m.cls.effect is i.Effect.REPEATABLE else -NEVER
+        return (m.ran_at if m.ran_at >= 0 else sent_at) + m.cls.window_us - WIRE_US
 
     def expected(self, place: Place, cls: i.MessageClass) -> float:
         """The expected call: decayed mean, seeded from the class aim, easing back while nothing is out."""
--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -93,7 +93,7 @@
     that may have run does none while its client comes back within the window."""
     wait = retry_after(b, m)
     safe = m.cls.effect is i.Effect.REPEATABLE or (m.ran_at < 0 and not m.out) or (
-        m.cls.scope is i.Scope.ALL and max(wait, LEAST_AWAY_US) < b.window_left(m))
+        m.cls.scope is i.Scope.ALL and b.now + max(wait, LEAST_AWAY_US) < b.repeat_by(m))
     b.actions.append(i.Refuse(m.id, wait, cause) if safe else i.Fail(m.id, cause))
     if m.key is not None and b.s.ends_told:
         owe(b, m.id, m.key)
@@ -126,7 +126,7 @@
         m, call = attempt.message, attempt.call
         if call.passed >= PASSED and not attempt.recalled:
             usual = STALL_CALLS * b.expected(call.target.place, m.cls)
-            least = m.cls.aim_us if m.cls.effect is i.Effect.ONCE else STALL_US
+            least = m.cls.aim_us if b.now >= b.repeat_by(m, call.sent_at) else STALL_US
             if b.now - call.sent_at > max(least, usual):
                 b.actions.append(i.Cancel(name, number))
                 attempt.recalled = True
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -188,3 +188,20 @@
         assert after.clock.base // 1000 == base
         after.store.let_go()
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize("window, least, most", [(60 * S, 600 * MS, 1600 * MS), (500 * MS, 2 * S, 20 * S)])
+def test_a_silent_call_that_outlasts_its_window_is_waited_for_as_a_once_only_one(
+        window: int, least: int, most: int) -> None:
+    """Called off once later calls are answered, it could not be sent again: it has to have its aim first."""
+    d = started(ONE, may_cancel=True, **short(window))
+    d.handle(MS, [end(sends(d.handle(0, [ask("first")]))[0], i.Outcome.DELIVERED)])  # the window lets two go
+    assert sends(d.handle(2 * MS, [ask("m", cls="keyed", due=60 * S)]))[0].message == "m"
+    now, cancels = 0, []
+    while not cancels and now < 30 * S:
+        now += 100 * MS
+        actions = d.handle(now, [ask(f"m{now}", due=60 * S)])
+        answered = [end(s, i.Outcome.DELIVERED, took=50 * MS) for s in sends(actions)]
+        actions += d.handle(now + 50 * MS, answered)
+        cancels = [a for a in actions if isinstance(a, i.Cancel)]
+    assert cancels == [i.Cancel("m", 0)] and least <= now <= most
