End calls that are on no connection yet as never run when the process exits

Cause: at the exit the pool closed its connections and left its dials alone.

Change: before the engine closes, what is on no connection yet ends as not sent, and is journaled so.

Measured: test_a_call_whose_dial_is_out_at_the_exit_is_sent_by_the_next_start, red without (`assert not True ... came('m')`).

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -113,7 +113,9 @@
         self.tick(time.monotonic())
         self.recall_more()
         await self.done.wait()
-        self.frozen = self.closed = True
+        self.frozen = True
+        self.pool.cut_dials()  # what is on no connection yet has never run: the next start still tries it
+        self.closed = True
         self.watch.pause()
         self.notices.pause()
         self.pool.close()
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -504,3 +504,45 @@
         await site.until(lambda: site.told("m") == told and not e.store.messages and not e.store.owed)
         assert len(site.sides[0].requests) == 1
     play(scene, Site(tmp_path))
+
+
+def test_a_call_whose_dial_is_out_at_the_exit_is_sent_by_the_next_start(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It has surely not run. Left open in the journal it counted as one that may have, and a once-only
+    message was failed with no call; a dial that came up in the last moments was even used."""
+    monkeypatch.setattr("lemonshunt.net.stopping.LISTEN_S", 0.0)
+    monkeypatch.setattr("lemonshunt.net.stopping.FREEZE_S", 0.0)
+    monkeypatch.setattr("lemonshunt.net.stopping.EXIT_S", 0.0)
+
+    async def scene(site: Site) -> None:
+        e = await site.start()
+        loop = asyncio.get_running_loop()
+        dial, gate, begun = loop.create_connection, asyncio.Event(), asyncio.Event()
+
+        async def held(protocol: Any, where: str, port: int, **more: Any) -> Any:
+            if port == site.sides[1].port and not gate.is_set():
+                begun.set()
+                await gate.wait()
+            return await dial(protocol, where, port, **more)
+
+        monkeypatch.setattr(loop, "create_connection", held)
+        ended = e.server.close
+
+        async def close() -> None:  # the last thing that a process does
+            gate.set()
+            await asyncio.sleep(0.05)  # for the dial to come up, if it may: nothing is asserted on it
+            await ended()
+
+        monkeypatch.setattr(e.server, "close", close)
+        assert await site.hand_in("m", "pay", 8) == 202
+        await begun.wait()
+        e.stop()
+        async with asyncio.timeout(PATIENCE):
+            await site.task
+        assert not site.came("m")
+        m = on_disk(tmp_path).messages["m"]
+        assert m.attempts == 1 and not m.out and m.ran_at_us < 0
+        await site.start()
+        await site.until(lambda: site.came("m"))
+        assert not site.told("m") and len(site.sides[1].requests) == 1
+    play(scene, Site(tmp_path))
