Let no call leave whose record is synced only after the engine has closed

Cause: under `power` a round's calls wait for its sync. Where that came back after the engine had closed (it waits 0.2 s for it), the calls were started on a pool that was shut already.

Change: they are journaled as never run, so that the next start tries them.

Measured: test_a_call_whose_record_is_synced_after_the_end_does_not_leave, red without (`not [Call(target=1, ...)]`).

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -199,6 +199,10 @@
                     self.successor.link.send(cancel=[step.message, step.attempt])
                 else:
                     self.pool.cancel(step.message, step.attempt)
+            elif self.closed:  # its sync took longer than the process lasts
+                for item in step.items:
+                    if item.id in self.store.messages:
+                        self.store.outcome(self.store.messages[item.id], item.attempt, False)
             elif self.cleared(step, ok):
                 self.pool.start(step)
         if self.store.owed:
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -546,3 +546,27 @@
         await site.until(lambda: site.came("m"))
         assert not site.told("m") and len(site.sides[1].requests) == 1
     play(scene, Site(tmp_path))
+
+
+def test_a_call_whose_record_is_synced_after_the_end_does_not_leave(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    hands = Hands()
+
+    async def scene() -> None:
+        e = power_engine(tmp_path, hands, monkeypatch)
+        started: list[object] = []
+        monkeypatch.setattr(e.pool, "start", started.append)
+        e.listed(HostList(2, True, tuple(engine(tmp_path / "other").config.known.hosts)))
+        while hands.work():
+            pass
+        door = Door()
+        e.hand_in(Handed("m", "pay", 7, e.clock() + 10**7, None, None, "acme", False, b""), door)
+        e.round()
+        e.frozen = e.closed = True
+        while hands.work():
+            pass
+        assert door.said == [202] and not started
+        m = e.store.messages["m"]
+        assert m.attempts == 1 and not m.out and m.ran_at_us < 0
+        e.store.let_go()
+    asyncio.run(scene())
