Count a message whose attempts made no call as untried when it is given up

Cause: the count of what is given up with no call went by the number of attempts, and one that came back unsent (no socket, no record, a wait told meanwhile) is an attempt and no call.

Measured: test_attempts_that_made_no_call_leave_a_message_untried.

--- a/lemonshunt/journal/state.py
+++ b/lemonshunt/journal/state.py
@@ -53,6 +53,8 @@
     """What it was taken on under; -1 where that is not known."""
     doubt: bool = False
     """An attempt, or its end, may stand in what could not be read."""
+    unsent: int = field(default=0, compare=False)
+    """Attempts of this process that made no call; not kept."""
 
     @property
     def size(self) -> int:
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -121,6 +121,8 @@
         for event in events:
             if isinstance(event, i.Ended):
                 self.book(event)
+                if event.outcome is i.Outcome.NOT_SENT and event.message in self.store.messages:
+                    self.store.messages[event.message].unsent += 1
         arriving, self.arriving = self.arriving, {}
         try:
             actions = self.dispatcher.handle(now, events)
@@ -173,7 +175,7 @@
     def untried(self, a: i.Refuse | i.Fail, now: int) -> None:
         """Taken on and given up with no call: one count for each cause, and a line of the message."""
         m = self.store.messages[a.message]
-        if m.attempts:
+        if m.attempts > m.unsent:
             return
         self.counts[f"untried: {a.cause}"] += 1
         if trace.isEnabledFor(logging.INFO):
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -469,6 +469,22 @@
     play(scene, Site(tmp_path))
 
 
+def test_attempts_that_made_no_call_leave_a_message_untried(tmp_path: Path) -> None:
+    async def scene() -> None:
+        e = engine(tmp_path)
+        for name, how in (("a", i.Outcome.NOT_SENT), ("b", FULL)):
+            m = Taken(name, "status", 7, e.clock() + 10 * S, None, None, b"")
+            e.store.take(m)
+            e.store.attempt(m, 0, 5, "s1")
+            e.events.append(i.Ended(name, 0, 1, how, 5))
+        e.round()
+        for name in "ab":
+            e.untried(i.Fail(name, "cause"), e.clock())
+        assert e.counts["untried: cause"] == 1
+        e.store.close()
+    asyncio.run(scene())
+
+
 # SIGTERM
 
 
