Let the disk fill between the door and the record in the test of a full disk

Cause: the test set the limit so that the door turned the message away already; taking out the check of the record itself left it green. Now the write fails with ENOSPC after the door had room.

Measured: without `ok` in Engine.leave the test is red, with it green.

--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 from collections.abc import Awaitable, Callable
@@ -242,8 +243,13 @@
         e = await site.start()
         assert await site.hand_in("held", "turns", X_Session_Key="k") == 202
         await site.until(lambda: site.came("held"))
-        e.store.log.most = e.store.size  # not a byte more
-        assert await site.hand_in("more", "status") == 503
+
+        def full(fd: int, data: memoryview, at: int) -> int:
+            raise OSError(errno.ENOSPC, "no space left")
+
+        e.store.files.write = full  # type: ignore[method-assign]
+        assert await site.hand_in("more", "status", 8) == 503  # there was room at the door
+        assert e.store.failed and not site.came("more")
         assert await site.hand_in("other", "pay", 8) == 503 and not site.came("other")
         await site.kill()
         e = await site.start()
