Keep the longest way of a list change under 6 s, and under 4 s after SIGHUP

Cause: a held watch that goes silent was found out after 5.0 + 1.2 s, the call after it waited for 2.5 s, and where lists are asked for the module paused for 0.5 to 8 s, doubling by failures. Change: hold 1.5 s, found out 0.5 s after it; other answers 0.6 s; the module's pause is 0.2 to 0.4 s at any number of failures. Answers without entries cost nothing and the agent is on the same machine, so asking oftener is free. The sum stands beside the constants (told_within_s, told_after_move_s): 5.12 s asked, 2.77 s pushed, 3.53 s and 2.48 s after SIGHUP, each with a silent watch, a silent call, a spoilt answer and a late one.

--- a/lemonshunt/choice/routes.py
+++ b/lemonshunt/choice/routes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from lemonshunt import interface as i
-from lemonshunt.choice.books import ASK_AGAIN_US, Books
+from lemonshunt.choice.books import Books
 from lemonshunt.choice.health import cold
 from lemonshunt.state import Target
 
+ASK_LEAST_US, ASK_MOST_US = 200_000, 400_000
+"""Between a call for the list that failed and the next, by chance between both. It does not grow with the
+failures: whatever the number, a change binds 6 s after discovery had it. The sum is in net/discovery.py."""
 THE_LIST = -1  # stands among the destinations' appointments for asking for the list
 MOST_GONE = 200  # targets that have left the list and are remembered still
 
@@ -14,10 +17,8 @@
 def listed(b: Books, event: i.Listed) -> None:
     """Follow the list. A drained or gone target gets nothing new from this round on."""
     if event.kind is i.ListKind.FAILED:
-        b.agenda.add(b.now + b.ask_pause + b.random.randrange(b.ask_pause), THE_LIST)
-        b.ask_pause = min(2 * b.ask_pause, 8 * ASK_AGAIN_US)
+        b.agenda.add(b.now + b.random.randrange(ASK_LEAST_US, ASK_MOST_US), THE_LIST)
         return
-    b.ask_pause = ASK_AGAIN_US
     if event.kind is not i.ListKind.CHANGES:
         for target in b.targets.values():
             target.serving = False
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -10,25 +10,49 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
+from lemonshunt.choice.routes import ASK_MOST_US
 from lemonshunt.net.config import Address, HostList, host_list
 from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
 from lemonshunt.net.store import Owed
 
 NO_VERSION = -1  # of a list that is not known yet; discovery counts from 0
-HOLD_MS = 5_000  # how long a watch waits for something newer; one that falls silent is found out after it
-LATE_S = 1.2  # a watch silent for so long after that is dead; what it had to tell counts as told 2 s after
-ANSWER_S = 2.5  # how long another answer may take; discovery gives up after 2 s itself
+HOLD_MS = 1_500  # how long a watch waits for something newer; an answer without entries costs nothing
+LATE_S = 0.5  # a watch silent for so long after that is dead; the agent is on this machine
+ANSWER_S = 0.6  # how long another answer may take, with its connection; the agent answers at once
 LEAST_WATCH_S = 0.1  # the next watch must come within 0.2 s of the last answer
-INSIST_S = 4.0  # after a move, what discovery tells binds so soon that failures are not waited out
+INSIST_S = 4.0  # after a move, what discovery tells binds so soon that the module's pauses are not waited out
 INSIST_PAUSE_S = 0.2
 PUSHED_ANSWER_S = 0.2  # where lists are pushed, an agent on this machine answers at once or is silent, ...
 PUSHED_PAUSE_S = 0.03  # ... and from the moment that it has news they bind: it is asked all the time
+SPREAD = 1.5  # a pause of the watch is drawn from what it adds to 2 up to so many times its length
+ROUND_S = 0.03  # that the loop's timers and the rounds of a failure and of its answer take
+TOLD_S, MOVED_S = 6.0, 4.0  # a change counts as told so long after discovery had it, and after SIGHUP
 NOTICE_LEAST_S = 0.02  # between two posts that fail, so that no failure makes us spin
 NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.8  # before the next post at most; doubles by each one that fails
 MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
 log = logging.getLogger("lemonshunt.discovery")
 
 
+def told_within_s(pushed: bool) -> float:
+    """The longest way from "discovery had it" to the round that heeds it, from the constants alone: a held
+    watch goes silent right after it was asked and is found out; the call after it is silent too; the next
+    ends as late as it may in an error status, half an answer, or a version that went back; and the one after
+    that is answered as late as it may. No pause grows with the failures, so this holds at any number of
+    them. The dial is within each answer's time. Must stay under TOLD_S, with room."""
+    answer, pause = (PUSHED_ANSWER_S, SPREAD * PUSHED_PAUSE_S) if pushed else (
+        ANSWER_S, ASK_MOST_US / 1_000_000 + ROUND_S)
+    return HOLD_MS / 1000 + LATE_S + 3 * pause + 3 * answer + ROUND_S
+
+
+def told_after_move_s(pushed: bool) -> float:
+    """The same from SIGHUP on, at the address that it named: what was held is cut off and the whole list
+    asked for at once. Either two calls for it fail as late as they may, or it comes late and the watch after
+    it goes silent at once. Must stay under MOVED_S, with room."""
+    answer, pause = (PUSHED_ANSWER_S, SPREAD * PUSHED_PAUSE_S) if pushed else (
+        ANSWER_S, SPREAD * INSIST_PAUSE_S)
+    return max(2 * (answer + pause), answer + HOLD_MS / 1000 + LATE_S + pause) + answer + ROUND_S
+
+
 class Channel(asyncio.Protocol):
     """One connection for one request after another."""
 
@@ -179,15 +203,19 @@
 
     async def failed(self, error: Exception) -> bool:
         """Whether to ask again from here, and not before a while."""
-        if not self.failures or not self.pushed:
+        if self.failures % 20 == 0 or self.failures < 3 and not self.pushed:
             log.warning("the list cannot be had: %s", error or type(error).__name__)
         self.sure, self.failures = False, self.failures + 1
         insists = time.monotonic() < self.insist_until
         if insists or self.pushed:
-            pause = PUSHED_PAUSE_S if self.pushed else INSIST_PAUSE_S
-            await asyncio.sleep(self.random.uniform(0.5, 1.5) * pause)
+            await asyncio.sleep(self.pause_s())
         return insists or self.pushed
 
+    def pause_s(self) -> float:
+        """Before it asks again itself. By chance, so that many do not ask in step; it never grows."""
+        pause = PUSHED_PAUSE_S if self.pushed else INSIST_PAUSE_S
+        return self.random.uniform(2 - SPREAD, SPREAD) * pause
+
 
 if TYPE_CHECKING:
     class Platform(Protocol):
