Let a call to discovery end with its own connection, and no byte of one be another's answer

Cause: three faults of the connection to discovery. An answer that gives no length ends with its connection, and was taken for a failure. Bytes that come between two calls (a second answer) began the next answer. An answer that had come while the loop stood still past the call's time was thrown away. Also a failed call closed the connection that the client had by then, whichever it was. Change: the reader hears the connection's end; unasked bytes close it; the answer that is here when the loop looks again is in time; a call closes only what it used. Result: test_each_form_of_an_answer_is_heard_also_where_the_connection_ends_with_it, test_bytes_that_nobody_asked_for_do_not_begin_the_next_answer and test_an_answer_that_came_while_the_loop_stood_still_is_in_time fail without and pass with it.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -60,12 +60,16 @@
         self.reader = ResponseReader(MOST_LIST)
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[None] | None = None
+        self.error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        if self.answer is None or self.answer.done():  # nobody asked: it must not begin the next answer
+            self.close()
+            return
         try:
             self.reader.feed(data)
         except BadAnswer as error:
@@ -77,14 +81,14 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
-        self.end(ConnectionResetError("the connection ended"))
+        if error is None:
+            self.reader.ended()  # so ends an answer that gave no length
+        self.end(None if self.reader.complete else ConnectionResetError("the connection ended"))
 
     def end(self, error: Exception | None) -> None:
         if self.answer is not None and not self.answer.done():
-            if error is None:
-                self.answer.set_result(None)
-            else:
-                self.answer.set_exception(error)
+            self.error = error
+            self.answer.set_result(None)
 
     def close(self) -> None:
         if self.transport is not None:
@@ -93,12 +97,22 @@
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
-    async def ask(self, data: bytes) -> ResponseReader:
+    async def ask(self, data: bytes, until: float) -> ResponseReader:
+        """One answer, by the loop's clock `until` then. One that has come by the time that a loop which
+        stood still looks again is in time."""
         assert self.transport is not None
+        loop = asyncio.get_running_loop()
         self.reader.renew()
-        self.answer = asyncio.get_running_loop().create_future()
+        self.error, self.answer = None, loop.create_future()
         self.transport.write(data)
-        await self.answer
+        try:
+            await asyncio.wait({self.answer}, timeout=until - loop.time())
+            if not self.answer.done():
+                raise TimeoutError
+        finally:
+            self.answer.cancel()  # of no effect on one that came
+        if self.error is not None:
+            raise self.error
         if not self.reader.keep_alive:
             self.close()
         return self.reader
@@ -112,22 +126,27 @@
         self.where, self.channel = where, Channel()
 
     async def ask(self, method: str, path: str, timeout_s: float, body: bytes = b"") -> ResponseReader:
+        """A call that fails, or is not waited for any longer, takes its own connection with it, so that a
+        late answer is never the next call's, and no connection but its own."""
         data = request(method, path, f"{self.where.host}:{self.where.port}", (), body)
+        loop = asyncio.get_running_loop()
+        until, channel = loop.time() + timeout_s, self.channel
         try:
-            async with asyncio.timeout(timeout_s):
-                if self.channel.usable():
-                    try:
-                        return await self.channel.ask(data)
-                    except ConnectionError:
-                        pass
-                loop = asyncio.get_running_loop()
-                _, self.channel = await loop.create_connection(Channel, self.where.host, self.where.port)
-                return await self.channel.ask(data)
+            if channel.usable():
+                try:
+                    return await channel.ask(data, until)
+                except ConnectionError:
+                    pass
+            async with asyncio.timeout_at(until):
+                _, channel = await loop.create_connection(Channel, self.where.host, self.where.port)
+            self.channel = channel
+            if not channel.usable():
+                raise ConnectionResetError("the connection ended")
+            return await channel.ask(data, until)
         except BaseException:
-            self.channel.close()
+            channel.close()
             raise
 
-
     def close(self) -> None:
         self.channel.close()
 
--- /dev/null
+++ b/tests/test_crossing_list.py
@@ -0,0 +1,277 @@
+"""Two events that cross at the list: a watch that goes silent against each other step, late answers, versions
+that go back, answers that end with their connection, and no descriptor left for the dial."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lemonshunt.net.config import Address, HostList
+from lemonshunt.net.discovery import HOLD_MS, NO_VERSION, Channel, Client, Watch
+from tests.sockets import OK, PATIENCE, Answer, Handler, Peer, Platform, Request, always
+from tests.test_list_told_in_time import in_virtual_time
+from tests.test_node import configure, node_on, play, target
+
+SILENT = b""  # nothing is written, and the connection stays
+
+
+def listing(seq: int, *hosts: tuple[str, str] | tuple[str, str, int], whole: bool = True) -> bytes:
+    entries = [{"host": name, "dial": f"127.0.0.1:{port[0] if port else 9}", "site": "x", "class": "plain",
+                "block": 7, "health": health, "share": 1.0, "born_ms": 0} for name, health, *port in hosts]
+    return json.dumps({"seq": seq, "whole": whole, "hosts": entries}).encode()
+
+
+def answer(body: bytes) -> bytes:
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+UP = answer(listing(1, ("s1", "up")))
+DRAINED = answer(listing(2, ("s1", "draining"), whole=False))
+HALF = DRAINED[:len(DRAINED) // 2]
+
+
+class Heard:
+    """What a watch told; it is asked to go on after a failure, as the module does."""
+
+    def __init__(self, where: Peer, seq: int = NO_VERSION, pushed: bool = False) -> None:
+        self.all: list[HostList | None] = []
+        self.news = asyncio.Event()
+        self.watch = Watch(Address("127.0.0.1", where.port), seq, self.listed, 1, pushed)
+        self.watch.subscribe()
+
+    def listed(self, told: HostList | None) -> None:
+        self.all.append(told)
+        self.news.set()
+        if told is None:
+            self.watch.subscribe()
+
+    @property
+    def told(self) -> list[tuple[int, dict[str, str]]]:
+        """Without failures, and what changed nothing."""
+        return [(t.seq, {h.name: h.health for h in t.hosts}) for t in self.all if t and t.hosts]
+
+    async def until(self, test: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not test():
+                self.news.clear()
+                await self.news.wait()
+
+
+def scripted(*answers: bytes | None | Callable[[Request], bytes | None]) -> Handler:
+    """These in turn, whatever connection asks; then watches are held until they are given up."""
+    left = list(answers)
+
+    async def handler(request: Request) -> bytes | None:
+        if not left:
+            await asyncio.sleep(3600)
+        step = left.pop(0)
+        return step(request) if callable(step) else step
+    return handler
+
+
+def held(version: int) -> str:
+    return f"?from={version}&hold_ms={HOLD_MS}"
+
+
+def paths(peer: Peer) -> list[str]:
+    return [r.path.removeprefix("/discovery/hosts") for r in peer.requests]
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("after", [0, 1, 3])
+@pytest.mark.parametrize("cut", [SILENT, HALF, DRAINED[:9], DRAINED[:-1]])
+def test_silence_right_after_an_answer_or_half_of_one_opens_the_watch_anew(
+        cut: bytes, after: int, pushed: bool) -> None:
+    """In its first second or later: the call after it comes on a connection of its own, from the version
+    before, and what the silent one says then is nobody's answer."""
+    async def scene() -> None:
+        def late(request: Request) -> bytes:
+            silent.requests[-2].writer.write(answer(listing(9, ("s9", "up"))))
+            return DRAINED
+        quiet = answer(listing(1, whole=False))
+        silent = await Peer(scripted(UP, *[quiet] * after, cut, late)).start()
+        heard = Heard(silent, pushed=pushed)
+        await heard.until(lambda: len(heard.told) == 2)
+        assert heard.told == [(1, {"s1": "up"}), (2, {"s1": "draining"})]
+        watch, fresh = silent.requests[-2:] if len(silent.requests) == after + 3 else silent.requests[-3:-1]
+        assert watch.path.endswith(held(1)) and fresh.path.endswith("from=1&hold_ms=0")
+        assert watch.writer is not fresh.writer
+        await silent.until(lambda: silent.closed >= 1)
+        await silent.got(after + 4)  # the watch goes on on the fresh one
+        assert silent.requests[after + 3].writer is fresh.writer
+        assert heard.told[2:] == []
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_a_stop_and_its_taking_back_in_one_turn_leave_the_fresh_watch_its_connection() -> None:
+    """The call that was cancelled ends after the fresh one began, and closes no connection but its own."""
+    async def scene() -> None:
+        peer = await Peer(scripted(UP, SILENT, DRAINED)).start()
+        heard = Heard(peer)
+        await peer.got(2)
+        heard.watch.pause()
+        heard.watch.subscribe()
+        await heard.until(lambda: len(heard.told) == 2)
+        assert heard.told[1] == (2, {"s1": "draining"}) and None not in heard.all
+        assert peer.requests[2].writer is not peer.requests[1].writer
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def chunked(body: bytes, size: int) -> bytes:
+    parts = [body[n:n + size] for n in range(0, len(body), size)]
+    return (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n")
+
+
+BODY = listing(2, ("s1", "draining"), whole=False)
+INDENTED = json.dumps(json.loads(BODY), indent=4).replace("\n", "\r\n").encode() + b"\r\n\r\n"
+ENDED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BODY
+CLOSES = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+
+
+@pytest.mark.parametrize("bytes_, last", [
+    (answer(INDENTED), False), (chunked(BODY, 1), False), (chunked(INDENTED, 7), False), (CLOSES, False),
+    (CLOSES, True), (DRAINED, True), (chunked(BODY, 5), True), (ENDED, True),
+    (b"HTTP/1.0 200 OK\r\n\r\n" + INDENTED, True)])
+def test_each_form_of_an_answer_is_heard_also_where_the_connection_ends_with_it(
+        bytes_: bytes, last: bool) -> None:
+    """Indented, chunked, told to be the last, and with no length but the connection's end."""
+    async def scene() -> None:
+        def write(request: Request) -> bytes | None:
+            request.writer.write(bytes_)
+            return None if last else b""
+        peer = await Peer(scripted(UP, write)).start()
+        heard = Heard(peer)
+        await peer.got(3)
+        assert heard.told == [(1, {"s1": "up"}), (2, {"s1": "draining"})] and None not in heard.all
+        assert paths(peer)[2] == held(2)
+        closes = last or bytes_ is CLOSES
+        assert (peer.requests[2].writer is not peer.requests[1].writer) is closes
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+@pytest.mark.parametrize("cut", [DRAINED[:-1], HALF, DRAINED[:5], chunked(BODY, 9)[:-7], ENDED[:-9],
+                                 ENDED[:40]])
+def test_a_list_cut_off_by_its_connections_end_is_asked_for_again_and_not_believed(cut: bytes) -> None:
+    """The call is made once more on another connection; where that is cut off too, it has failed."""
+    async def scene() -> None:
+        def write(request: Request) -> None:
+            request.writer.write(cut)
+        peer = await Peer(scripted(UP, write, write, DRAINED)).start()
+        heard = Heard(peer)
+        await heard.until(lambda: len(heard.told) == 2)
+        assert heard.told == [(1, {"s1": "up"}), (2, {"s1": "draining"})]
+        assert set(paths(peer)[1:4]) <= {held(1), "?from=1&hold_ms=0"}
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_bytes_that_nobody_asked_for_do_not_begin_the_next_answer() -> None:
+    """Half of a second answer comes between two calls, the rest of it with the next answer."""
+    async def scene() -> None:
+        stray = answer(b"stray")
+
+        def second(request: Request) -> bytes:
+            peer.requests[0].writer.write(stray[20:])
+            return DRAINED
+        peer = await Peer(scripted(UP, second)).start()
+        client = Client(Address("127.0.0.1", peer.port))
+        assert (await client.ask("GET", "/a", PATIENCE)).body == UP.partition(b"\r\n\r\n")[2]
+        peer.requests[0].writer.write(stray[:20])
+        async with asyncio.timeout(PATIENCE):
+            while client.channel.usable() and client.channel.reader.keep_alive:
+                await asyncio.sleep(0.005)
+        assert (await client.ask("GET", "/b", PATIENCE)).body == DRAINED.partition(b"\r\n\r\n")[2]
+        client.close()
+    in_virtual_time(scene)
+
+
+@pytest.mark.parametrize("how", ["cancelled", "given up"])
+def test_the_late_answer_of_a_call_that_is_not_waited_for_is_not_the_next_calls(how: str) -> None:
+    async def scene() -> None:
+        def second(request: Request) -> bytes:
+            peer.requests[1].writer.write(UP)
+            return DRAINED
+        peer = await Peer(scripted(UP, SILENT, second)).start()
+        client = Client(Address("127.0.0.1", peer.port))
+        await client.ask("GET", "/first", PATIENCE)
+        if how == "cancelled":
+            task = asyncio.create_task(client.ask("GET", "/a", PATIENCE))
+            await peer.got(2)
+            client.channel.data_received(HALF)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+        else:
+            with pytest.raises(TimeoutError):
+                await client.ask("GET", "/a", 0.1)
+        assert not client.channel.usable()
+        assert (await client.ask("GET", "/b", PATIENCE)).body == DRAINED.partition(b"\r\n\r\n")[2]
+        assert peer.requests[2].writer is not peer.requests[1].writer
+        client.close()
+    in_virtual_time(scene)
+
+
+def test_a_dial_given_up_takes_no_answer_of_the_call_before() -> None:
+    async def scene() -> None:
+        peer = await Peer(always(Answer(200, {"Connection": "close"}, b"old"))).start()
+        client = Client(Address("127.0.0.1", peer.port))
+        assert (await client.ask("GET", "/a", PATIENCE)).body == b"old"
+        peer.server.close()
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        client.where = Address("127.0.0.1", listener.getsockname()[1])
+        with pytest.raises(TimeoutError):
+            await client.ask("GET", "/b", 0.1)
+        for s in (listener, *fillers):
+            s.close()
+    in_virtual_time(scene)
+
+
+def test_an_answer_that_came_while_the_loop_stood_still_is_in_time() -> None:
+    """The time is up and the answer is here, both seen in the same turn of the loop."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    go, sent = threading.Event(), threading.Event()
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        connection.recv(4096)
+        go.wait(PATIENCE)
+        connection.sendall(UP)
+        sent.set()
+        connection.recv(1)
+        connection.close()
+
+    async def scene() -> None:
+        client = Client(Address("127.0.0.1", listener.getsockname()[1]))
+        task = asyncio.create_task(client.ask("GET", "/a", 0.3))
+        while client.channel.answer is None:
+            await asyncio.sleep(0)
+        until = time.monotonic() + 0.35
+        go.set()
+        assert sent.wait(PATIENCE)
+        time.sleep(max(0.0, until - time.monotonic()))  # the loop stands still past the call's time
+        assert (await task).status == 200
+        client.close()
+    thread = threading.Thread(target=serve)
+    thread.start()
+    asyncio.run(scene())
+    thread.join()
+    listener.close()
