Ask for the whole list where discovery's version went back, and again where a list cannot be booked

Cause: changes of a lower version than ours (discovery was restored) were built on our list, so what discovery no longer held stayed in it; changes in place of the whole list likewise. An exception in booking a list ended the watch for good, with nothing in the log till the process ended. Change: such changes are a failed call, and the next asks for the whole list; a whole list is taken whatever its version. A list that cannot be booked is a failed call.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -197,20 +197,28 @@
                 if answer.status != 200:
                     raise BadAnswer(f"status {answer.status}")
                 told = host_list(json.loads(answer.body))
+                self.check(told)
+                held, news = self.sure, told.seq != self.seq
+                self.listed(told)
+                self.seq = told.seq
             except Exception as error:  # whatever comes back must not end the asking for good
                 if await self.failed(error):
                     continue
                 self.task = None
                 self.listed(None)
                 return
-            news = told.seq != self.seq or (told.hosts and not told.whole)
-            held, self.sure, self.failures = self.sure, True, 0
-            self.seq = told.seq
-            self.listed(told)
+            self.sure, self.failures = True, 0
             self.answered.set()
             if held and not news and time.monotonic() - asked < LEAST_WATCH_S:
                 await asyncio.sleep(LEAST_WATCH_S)  # a discovery that answers at once must not spin us
 
+    def check(self, told: HostList) -> None:
+        """Changes are good for the list that they build on only. Where the version went back, discovery is
+        not what it was (it was restored): what it held since is gone, and only the whole list tells all."""
+        if not told.whole and (told.seq < self.seq or self.seq <= NO_VERSION):
+            was, self.seq = self.seq, NO_VERSION
+            raise BadAnswer(f"changes of version {told.seq} to a list of version {was}")
+
     def call(self) -> tuple[str, float]:
         """What to ask, and how long its answer may take. The first call, and one after a failure, does not
         wait for news: no answer to it means silence, where a held watch looks the same with nothing new."""
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -130,6 +130,68 @@
     in_virtual_time(scene)
 
 
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("hosts", [(), (("s1", "up"),)])
+@pytest.mark.parametrize("watched", [False, True])
+def test_changes_of_a_version_that_went_back_are_not_built_on(
+        watched: bool, hosts: tuple[tuple[str, str], ...], pushed: bool) -> None:
+    """Discovery was restored: what came after is gone there, and changes to it say nothing of our list."""
+    async def scene() -> None:
+        ours = answer(listing(43, ("s1", "draining"), ("s2", "up")))
+        back = answer(listing(41, *hosts, whole=False))
+        steps = [ours, answer(listing(43, whole=False)), back] if watched else [ours, back]
+        peer = await Peer(scripted(*steps, answer(listing(41, ("s1", "draining"))))).start()
+        heard = Heard(peer, pushed=pushed)
+        await peer.got(len(steps) + 2)
+        assert heard.told == [(43, {"s1": "draining", "s2": "up"}), (41, {"s1": "draining"})]
+        assert paths(peer)[len(steps):] == ["", held(41)]
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_a_whole_list_of_a_version_that_went_back_is_what_there_is_now() -> None:
+    async def scene() -> None:
+        peer = await Peer(scripted(answer(listing(43, ("s1", "up"), ("s2", "up"))),
+                                   answer(listing(5, ("s1", "up"))))).start()
+        heard = Heard(peer)
+        await peer.got(3)
+        assert heard.told == [(43, {"s1": "up", "s2": "up"}), (5, {"s1": "up"})]
+        assert paths(peer) == ["", held(43), held(5)]
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_changes_in_place_of_the_whole_list_are_refused() -> None:
+    """What the list of before held and the new one does not would stay in it."""
+    async def scene() -> None:
+        peer = await Peer(scripted(answer(listing(7, ("s1", "up"), whole=False)), UP)).start()
+        heard = Heard(peer)
+        await peer.got(3)
+        assert heard.told == [(1, {"s1": "up"})] and paths(peer)[:2] == ["", ""]
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_a_list_that_cannot_be_booked_is_asked_for_again() -> None:
+    """Whatever is wrong with it, the asking went on before only where the answer could not be read."""
+    async def scene() -> None:
+        peer = await Peer(scripted(UP, DRAINED, DRAINED)).start()
+        heard = Heard(peer)
+        listed, raised = heard.watch.listed, []
+
+        def once(told: HostList | None) -> None:
+            if told is not None and told.seq == 2 and not raised:
+                raised.append(told)
+                raise ValueError("bad entry")
+            listed(told)
+        heard.watch.listed = once
+        await peer.got(4)
+        assert heard.told == [(1, {"s1": "up"}), (2, {"s1": "draining"})]
+        assert paths(peer)[1:3] == [held(1), "?from=1&hold_ms=0"]
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
 def chunked(body: bytes, size: int) -> bytes:
     parts = [body[n:n + size] for n in range(0, len(body), size)]
     return (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_list_told_in_time.py
+++ b/tests/test_list_told_in_time.py
@@ -197,13 +197,13 @@
 
 @pytest.mark.parametrize("failures", [0, 1, 2, 3, 5, 10])
 @pytest.mark.parametrize("pushed", [False, True])
-@pytest.mark.parametrize("last", ["status", "half", "cut", "garbage"])
+@pytest.mark.parametrize("last", ["status", "half", "cut", "stale", "garbage"])
 def test_a_change_reaches_the_module_in_time_on_the_longest_way(
         pushed: bool, failures: int, last: str) -> None:
     """So many failures, then one good answer; the watch after it goes silent, and discovery gets the drain in
     that moment. The next call is silent, the one after is spoilt, the last is as late as it may."""
     spoilt: dict[str, Answer | bytes | None] = {
-        "status": Answer(503), "half": HALF, "cut": None,
+        "status": Answer(503), "half": HALF, "cut": None, "stale": listing(0, None, whole=False),
         "garbage": Answer(200, body=b"{")}
 
     async def scene() -> None:
@@ -259,7 +259,8 @@
 
 @pytest.mark.parametrize("pushed", [False, True])
 @pytest.mark.parametrize("first, second", [
-    (SILENT, SILENT), (SILENT, Answer(503)), (HALF, Answer(200, body=b"[")), (None, HALF)])
+    (SILENT, SILENT), (SILENT, Answer(503)), (HALF, Answer(200, body=b"[")), (None, HALF),
+    (listing(3, None, whole=False), SILENT)])
 def test_after_sighup_the_new_address_is_heard_in_time(
         pushed: bool, first: Answer | bytes | None, second: Answer | bytes | None) -> None:
     """Two calls there that fail as late as they may; the module may be pausing after failures of before."""
