Begin no watch and no post anew by a SIGHUP that crosses the end of a stop

Change: what was paused stays so until it is asked for again. Result: test_a_watch_that_ended_in_a_stop_tells_nothing_and_no_sighup_begins_it_anew: without it "assert <Task pending ... Watch.follow()> is None". The other tests that come with this passed before; which line guards each was shown by taking it out (move's and pause's cancel, the dial's bound, connections closed or not kept where an address changed, EXIT_S).

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -185,6 +185,7 @@
         if self.task is not None:
             self.task.cancel()
             self.task = None
+        self.wanted = False  # a SIGHUP that comes in the end must not begin it anew
         self.client.close()
 
     async def follow(self) -> None:
@@ -258,10 +259,11 @@
 
     def __init__(self, where: Address, book: Platform, seed: int) -> None:
         self.client, self.book, self.random = Client(where), book, random.Random(seed)
-        self.wanted = asyncio.Event()
+        self.wanted, self.paused = asyncio.Event(), False
         self.task: asyncio.Task[None] | None = None
 
     def kick(self) -> None:
+        self.paused = False
         self.wanted.set()
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self.run())
@@ -272,13 +274,15 @@
             self.task.cancel()
         self.client.close()
         self.client, self.task = Client(where), None
-        self.kick()
+        if not self.paused:
+            self.kick()
 
     def pause(self) -> None:
         """Post nothing until the next kick. A post that is cut off is made again: that does no harm."""
         if self.task is not None:
             self.task.cancel()
             self.task = None
+        self.paused = True
         self.client.close()
 
     def pause_s(self, failures: int) -> float:
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -115,6 +115,72 @@
     in_virtual_time(scene)
 
 
+def test_an_answer_that_came_in_the_turn_of_sighups_move_is_not_of_the_new_address() -> None:
+    """The bytes are here, the watch has not been woken yet, and then the signal moves it."""
+    async def scene() -> None:
+        old = await Peer(scripted(UP, answer(listing(2, ("s1", "draining"))))).start()
+        new = await Peer(scripted(answer(listing(0, ("s2", "up"))))).start()
+        heard = Heard(old)
+        channel_end, ends = Channel.end, []
+
+        def end(channel: Channel, error: Exception | None) -> None:
+            channel_end(channel, error)
+            ends.append(channel)
+            if len(ends) == 2:
+                heard.watch.move(Address("127.0.0.1", new.port))
+        Channel.end = end  # type: ignore[method-assign]
+        try:
+            await heard.until(lambda: len(heard.told) == 2)
+            await new.got(2)
+        finally:
+            Channel.end = channel_end  # type: ignore[method-assign]
+        assert heard.told == [(1, {"s1": "up"}), (0, {"s2": "up"})]
+        assert paths(new)[0] == "" and heard.watch.seq == 0
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+@pytest.mark.parametrize("first", [SILENT, HALF, None])
+def test_silence_during_sighups_move_at_both_addresses(first: bytes | None) -> None:
+    """The old watch is silent, the first call at the new address is too, and the old one speaks late."""
+    async def scene() -> None:
+        def late(request: Request) -> bytes:
+            old.requests[1].writer.write(DRAINED)
+            return answer(listing(0, ("s2", "up")))
+        old = await Peer(scripted(UP, SILENT)).start()
+        new = await Peer(scripted(first, late)).start()
+        heard = Heard(old)
+        await old.got(2)
+        heard.watch.move(Address("127.0.0.1", new.port))
+        await heard.until(lambda: len(heard.told) == 2)
+        assert heard.told == [(1, {"s1": "up"}), (0, {"s2": "up"})]
+        assert None not in heard.all  # the module's pause is not waited out
+        assert paths(new)[:2] == ["", ""] and new.requests[0].writer is not new.requests[1].writer
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+def test_a_watch_that_ended_in_a_stop_tells_nothing_and_no_sighup_begins_it_anew() -> None:
+    """An answer has come in the turn of the pause; then the configuration names another address."""
+    async def scene() -> None:
+        old = await Peer(scripted(UP, SILENT)).start()
+        new = await Peer(always(UP)).start()
+        heard = Heard(old)
+        await old.got(2)
+        assert heard.watch.client.channel.answer is not None
+        heard.watch.client.channel.data_received(answer(listing(2, ("s1", "draining"))))
+        heard.watch.pause()
+        heard.watch.move(Address("127.0.0.1", new.port))
+        assert heard.watch.task is None
+        await old.until(lambda: old.closed == 1)
+        assert heard.told == [(1, {"s1": "up"})]
+        heard.watch.subscribe()  # the new process is gone: this one goes on, where it was told to
+        await heard.until(lambda: len(heard.told) == 2)
+        assert paths(new)[0] == ""
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
 def test_a_stop_and_its_taking_back_in_one_turn_leave_the_fresh_watch_its_connection() -> None:
     """The call that was cancelled ends after the fresh one began, and closes no connection but its own."""
     async def scene() -> None:
@@ -130,6 +196,33 @@
     in_virtual_time(scene)
 
 
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_dial_that_does_not_come_up_is_made_again(pushed: bool) -> None:
+    """The machine takes no connection (its backlog is full) while the fresh watch dials; then it does."""
+    async def scene() -> None:
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        where = listener.getsockname()
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(where)
+        peer = Peer(scripted(UP))
+        peer.port = where[1]
+        heard = Heard(peer, seq=1, pushed=pushed)
+        async with asyncio.timeout(PATIENCE):
+            while heard.watch.failures < 2:
+                await asyncio.sleep(0.1)
+        assert heard.told == []
+        for filler in fillers:
+            filler.close()
+        server = await asyncio.start_server(peer.serve, sock=listener)
+        await heard.until(lambda: bool(heard.told))
+        assert paths(peer)[0] == "?from=1&hold_ms=0"
+        heard.watch.pause()
+        server.close()
+    in_virtual_time(scene)
+
+
 @pytest.mark.parametrize("pushed", [False, True])
 @pytest.mark.parametrize("hosts", [(), (("s1", "up"),)])
 @pytest.mark.parametrize("watched", [False, True])
@@ -337,3 +430,110 @@
     asyncio.run(scene())
     thread.join()
     listener.close()
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_dial_with_no_descriptor_left_is_made_again_soon(
+        pushed: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Idle clients hold them all when discovery's connection has to be made anew."""
+    async def scene() -> None:
+        peer = await Peer(scripted(UP, None, DRAINED)).start()
+        heard = Heard(peer, pushed=pushed)
+        before = resource.getrlimit(resource.RLIMIT_NOFILE)
+        failed: list[OSError] = []
+        dial = asyncio.get_running_loop().create_connection
+
+        async def create(*args: Any, **more: Any) -> Any:
+            try:
+                return await dial(*args, **more)
+            except OSError as error:
+                failed.append(error)
+                if len(failed) == 3:  # room is made
+                    resource.setrlimit(resource.RLIMIT_NOFILE, before)
+                raise
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", create, raising=False)
+        await peer.got(1)
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (3, before[1]))
+            await heard.until(lambda: len(heard.told) == 2)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        assert [error.errno for error in failed] == [24] * 3
+        assert heard.told[1] == (2, {"s1": "draining"})
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
+@pytest.mark.parametrize("rests", [True, False])
+@pytest.mark.parametrize("form", ["changes", "whole"])
+def test_a_target_removed_and_added_again_at_another_address_gets_its_calls_there(
+        tmp_path: Path, form: str, rests: bool) -> None:
+    """Within one answer; the connection to the old address rests, or has its call out. Whose the address is
+    by now nobody knows."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        gate = asyncio.Event()
+
+        async def second(request: Request) -> Answer:
+            if request.headers["x-correlation-id"] == "before":
+                await gate.wait()
+            return OK
+        old = await target(platform, second)
+        node = await node_on(folder, platform)
+        assert (await node.hand_in("first"))[0] == 202  # a connection is kept from the second call on
+        await node.shows(lambda f: sum(f["fulfilled"].values()) == 1)
+        assert (await node.hand_in("before"))[0] == 202
+        await old.got(2)
+        if rests:
+            gate.set()
+            await node.shows(lambda f: sum(f["fulfilled"].values()) == 2)
+        new = await target(platform, always(OK))
+        platform.seq = 2
+        platform.news[2] = [{**platform.hosts["s1"], "dial": f"127.0.0.1:{old.port}", "health": "removed"},
+                            dict(platform.hosts["s1"])]
+        if form == "whole":
+            inner = platform.handler
+
+            async def whole(request: Request) -> Answer | bytes | None:
+                told = await inner(request)
+                if request.path.startswith("/discovery/hosts?from=1&"):
+                    return Answer(200, body=json.dumps(platform.listing()).encode())
+                return told
+            platform.handler = whole
+        await platform.note()
+        await platform.until(lambda: any("from=2&" in r.path for r in platform.requests))
+        gate.set()
+        await node.shows(lambda f: sum(f["fulfilled"].values()) == 2)
+        assert (await node.hand_in("after"))[0] == 202
+        assert [r.headers["x-correlation-id"] for r in await new.got(1)] == ["after"]
+        await old.until(lambda: old.closed >= 1 and old.closed == len({r.writer for r in old.requests}))
+        assert len(old.requests) == 2
+    play(scene, tmp_path)
+
+
+def test_a_stop_does_not_wait_for_a_silent_watch_or_a_silent_post(tmp_path: Path) -> None:
+    """The watch and the notice are out and unanswered; SIGTERM, then SIGHUP with another address."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        await target(platform, always(Answer(500)))
+        node = await node_on(folder, platform)
+        silent = asyncio.Event()
+
+        async def quiet(request: Request) -> bytes:
+            if request.path == "/v1/notices":
+                silent.set()
+            return SILENT
+        platform.handler = quiet
+        assert (await node.hand_in("m", "pay"))[0] == 202
+        async with asyncio.timeout(PATIENCE):
+            await silent.wait()
+        node.process.send_signal(signal.SIGTERM)
+        await node.until_logged("stopping")
+        configure(node, discovery="127.0.0.1:1")
+        node.process.send_signal(signal.SIGHUP)
+        assert await node.end(signal.SIGTERM) == 0
+        assert any("1 owed ends stay in the journal" in line for line in node.log)
+        platform.handler = platform.answer
+        configure(node, discovery=f"127.0.0.1:{platform.port}")
+        await node.start()
+        assert (await platform.notice("m"))["state"] == "failed"
+    play(scene, tmp_path)
+    assert os.path.exists(tmp_path / "state")
