Wait 0.1 s for a notice's 204, not 2.5 s: a silent post must leave time for another

Cause: a connection that hangs held the post, and all ends owed since, for 2.5 s; a notice is overdue 0.3 s after its message's time. After failures the pause before the next post went up to 0.8 s. Change: a 204 is waited for for 0.1 s, twice, then ever longer up to 0.8 s, so that a platform that is slow all the time is heard; a silent post is followed by another at once, on a new connection; the longest pause is 0.2 s. The sum stands beside the constants (notice_within_s): 0.25 s with a silent post and a refused one.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -28,7 +28,8 @@
 ROUND_S = 0.03  # that the loop's timers and the rounds of a failure and of its answer take
 TOLD_S, MOVED_S = 6.0, 4.0  # a change counts as told so long after discovery had it, and after SIGHUP
 NOTICE_LEAST_S = 0.02  # between two posts that fail, so that no failure makes us spin
-NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.8  # before the next post at most; doubles by each one that fails
+NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.2  # before the next post at most; doubles by each one that fails
+NOTICE_ANSWER_S, NOTICE_PATIENCE_S = 0.1, 0.8  # for a 204, which comes at once, and where that is slow
 MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
 log = logging.getLogger("lemonshunt.discovery")
 
@@ -53,6 +54,12 @@
     return max(2 * (answer + pause), answer + HOLD_MS / 1000 + LATE_S + pause) + answer + ROUND_S
 
 
+def notice_within_s() -> float:
+    """From the kick to the 204 where a post falls silent and the next one ends in an error: under the 0.3 s
+    by which a notice is overdue."""
+    return NOTICE_ANSWER_S + NOTICE_LEAST_S + NOTICE_FIRST_S + ROUND_S
+
+
 class Channel(asyncio.Protocol):
     """One connection for one request after another."""
 
@@ -285,28 +292,40 @@
         self.paused = True
         self.client.close()
 
+    @staticmethod
+    def patience_s(silent: int) -> float:
+        """How long a 204 is waited for, after so many in a row that did not come. It is short, as a
+        connection that says nothing must not hold up what is overdue 0.3 s after its time; but a platform
+        that is slow all the time is heard in the end. A notice that is posted twice does no harm."""
+        return float(min(NOTICE_PATIENCE_S, NOTICE_ANSWER_S * 2 ** min(max(0, silent - 1), 8)))
+
     def pause_s(self, failures: int) -> float:
         """By chance up to a time that doubles: many that failed at once must not ask again in step. It stays
         short, as a notice is overdue 300 ms after its message's time."""
         return self.random.uniform(NOTICE_LEAST_S, min(NOTICE_TOP_S, NOTICE_FIRST_S * 2**min(failures, 8)))
 
     async def run(self) -> None:
-        failures = 0
+        failures = silent = 0
         while True:
             await self.wanted.wait()
             self.wanted.clear()
             while owed := list(self.book.owed_ends().items())[:MOST_NOTICES]:
                 try:
-                    answer = await self.client.ask("POST", "/v1/notices", ANSWER_S, b"".join(map(line, owed)))
+                    answer = await self.client.ask(
+                        "POST", "/v1/notices", self.patience_s(silent), b"".join(map(line, owed)))
                     if answer.status != 204:
                         raise BadAnswer(f"status {answer.status}")
-                except (OSError, TimeoutError, BadAnswer) as error:
-                    if failures % 20 == 0:
+                except (OSError, BadAnswer) as error:
+                    if (failures + silent) % 20 == 0:
                         log.warning("notices not accepted, trying again: %s", error or type(error).__name__)
-                    await asyncio.sleep(self.pause_s(failures))
-                    failures += 1
+                    if isinstance(error, TimeoutError):  # it was waited for: no need for another pause
+                        silent += 1
+                        await asyncio.sleep(NOTICE_LEAST_S)
+                    else:
+                        await asyncio.sleep(self.pause_s(failures))
+                        failures += 1
                     continue
-                failures = 0
+                failures = silent = 0
                 self.book.acknowledged([name for name, _ in owed])
 
 
