--- a/tests/test_crossing_notices.py
+++ b/tests/test_crossing_notices.py
@@ -250,24 +250,26 @@
             first = not posted.is_set()
             if first:
                 posted.set()
-                peer.requests[0].writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                peer.requests[1].writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 if post != "taken":
                     return SILENT if post == "silent" else None
             return await inner(request)
         platform.handler = noticed
         node = await node_on(folder, platform)
+        assert (await node.hand_in("first", "pay"))[0] == 202  # a connection is kept from the second call on
+        await node.shows(lambda f: f["fulfilled"]["pay"] == 1)
         assert (await node.hand_in("late", "pay", left="0.6"))[0] == 202
         assert (await platform.notice("late"))["state"] == "failed"
         await node.shows(lambda f: f["open_requests"] == 0)
         assert (await node.hand_in("next", "pay"))[0] == 202
-        figures = await node.shows(lambda f: f["fulfilled"]["pay"] == 1)
+        figures = await node.shows(lambda f: f["fulfilled"]["pay"] == 2)
         assert figures["faulted"]["pay"] == 1
-        assert [r.headers["x-correlation-id"] for r in peer.requests] == ["late", "next"]
-        assert peer.requests[0].writer is not peer.requests[1].writer
+        assert [r.headers["x-correlation-id"] for r in peer.requests] == ["first", "late", "next"]
+        assert peer.requests[1].writer is not peer.requests[2].writer
         assert [n["id"] for n in platform.notices] == ["late"]
         await node.restart()
         assert (await node.hand_in("after", "pay"))[0] == 202
-        await peer.got(3)
+        await peer.got(4)
         assert [n["id"] for n in platform.notices] == ["late"]  # what was acknowledged is kept as such
     play(scene, tmp_path)
 
