Hold a silent connection to discovery until the next is dialled, so that its descriptor stays ours

Cause: a call that was not answered closed its connection at once and the next was dialled after a pause; clients that rest and hold all other descriptors took the one that had come free, and discovery was out of reach until one of them left. Change: the silent connection is read and asked no more, and closed in the turn in which the next one is dialled. A call that is cancelled still closes its own at once. Answers of no use (error status, garbage, a version that went back) cost no connection, as before. Result: test_a_silent_connections_descriptor_goes_to_the_one_after_it_and_to_no_client: without it "OSError: [Errno 24] Too many open files" on the second call; passes with it. Where discovery itself ends the connection its descriptor is free at once: that needs a reserve.

--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -68,6 +68,7 @@
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[None] | None = None
         self.error: Exception | None = None
+        self.retired = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -101,9 +102,18 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def usable(self) -> bool:
+    def retire(self) -> None:
+        """Nothing is asked or heard here any more; its descriptor is kept for the connection after it."""
+        self.retired = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def usable(self) -> bool:
+        return self.open() and not self.retired
+
     async def ask(self, data: bytes, until: float) -> ResponseReader:
         """One answer, by the loop's clock `until` then. One that has come by the time that a loop which
         stood still looks again is in time."""
@@ -134,7 +144,8 @@
 
     async def ask(self, method: str, path: str, timeout_s: float, body: bytes = b"") -> ResponseReader:
         """A call that fails, or is not waited for any longer, takes its own connection with it, so that a
-        late answer is never the next call's, and no connection but its own."""
+        late answer is never the next call's, and no connection but its own. One that says nothing is held
+        until the next is dialled: where clients hold all other descriptors, it must not become theirs."""
         data = request(method, path, f"{self.where.host}:{self.where.port}", (), body)
         loop = asyncio.get_running_loop()
         until, channel = loop.time() + timeout_s, self.channel
@@ -144,12 +155,18 @@
                     return await channel.ask(data, until)
                 except ConnectionError:
                     pass
+            if channel.open():
+                channel.close()
+                await asyncio.sleep(0)  # it is closed in this turn, before anyone else is served
             async with asyncio.timeout_at(until):
                 _, channel = await loop.create_connection(Channel, self.where.host, self.where.port)
             self.channel = channel
             if not channel.usable():
                 raise ConnectionResetError("the connection ended")
             return await channel.ask(data, until)
+        except Exception:
+            channel.retire()
+            raise
         except BaseException:
             channel.close()
             raise
--- a/tests/test_crossing_list.py
+++ b/tests/test_crossing_list.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import resource
@@ -464,6 +465,51 @@
     in_virtual_time(scene)
 
 
+def test_a_silent_connections_descriptor_goes_to_the_one_after_it_and_to_no_client() -> None:
+    """Discovery says nothing, and whatever descriptor comes free is taken at once by clients that rest."""
+    async def scene() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        client = Client(Address("127.0.0.1", listener.getsockname()[1]))
+        resting: list[int] = []
+        before = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+        def flood() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    resting.append(os.open(os.devnull, os.O_RDONLY))
+        try:
+            most = max(map(int, os.listdir("/proc/self/fd"))) + 3
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most, before[1]))
+            for _ in range(4):
+                with pytest.raises(TimeoutError):
+                    await client.ask("GET", "/discovery/hosts", 0.1)
+                for _ in range(3):
+                    await asyncio.sleep(0)
+                flood()
+            assert resting
+        finally:
+            for number in resting:
+                os.close(number)
+            resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        client.close()
+        listener.close()
+    in_virtual_time(scene)
+
+
+def test_an_answer_of_no_use_costs_no_connection() -> None:
+    """An error status, garbage and a version that went back: the next call goes on the same one."""
+    async def scene() -> None:
+        steps = [b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", answer(b"{"),
+                 answer(listing(0, whole=False)), answer(listing(2, ("s1", "draining")))]
+        peer = await Peer(scripted(UP, *steps)).start()
+        heard = Heard(peer)
+        await peer.got(6)
+        assert heard.told[-1] == (2, {"s1": "draining"})
+        assert len({r.writer for r in peer.requests}) == 1
+        heard.watch.pause()
+    in_virtual_time(scene)
+
+
 @pytest.mark.parametrize("rests", [True, False])
 @pytest.mark.parametrize("form", ["changes", "whole"])
 def test_a_target_removed_and_added_again_at_another_address_gets_its_calls_there(
