End clients' connections by half-close, and read what has come before they end

Bytes unread in it, or sent on it later, reset the connection; a request that had come by then got no answer. An answer with Connection: close was followed by another where a second request had been read, and the loop went on to requests on a transport that was closing. Change: finish() ends the own side, reads on and discards for LINGER_S, then closes; close() leaves a connection whose socket holds something to the loop, which answers it. Requests read whole behind one another are all answered, and the last answer alone says close; behind a request that asks for close nothing is taken in. What comes behind a refusal not yet written stops being read instead of closing over the answer before it. A half-close by the client refuses all that came whole.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -64,12 +65,18 @@
     def eof_received(self) -> bool:
         """A client that ends its side no longer waits; what it may still read is a refusal."""
         self.ended = True
-        if self.busy is None:
-            return False
-        self.gone()
-        self.answer(HTTPStatus.SERVICE_UNAVAILABLE, "withdrawn")
+        self.refuse("withdrawn")
         return False
 
+    def refuse(self, text: str, **headers: str) -> None:
+        """Refuse all that has come whole and has no answer."""
+        self.gone()
+        if self.busy is not None:
+            self.answer(HTTPStatus.SERVICE_UNAVAILABLE, text, **headers)
+        while self.waiting and self.open():
+            self.busy = self.waiting.popleft()
+            self.answer(HTTPStatus.SERVICE_UNAVAILABLE, text, **headers)
+
     def gone(self) -> None:
         left, self.left = self.left, None
         if left is not None:
@@ -79,8 +86,11 @@
         self.used_us = self.server.clock()
         self.raw += len(data)
         if self.broken:
-            if self.raw > LINGER_BYTES:
-                self.close()
+            if self.raw > LINGER_BYTES and self.transport is not None:
+                if self.until_us:
+                    self.transport.close()
+                else:  # an answer before the refusal is still to come, and must not be reset
+                    self.transport.pause_reading()
             return
         begun = self.requests
         if self.parser is None:
@@ -162,7 +172,7 @@
     # Answering
 
     def next(self) -> None:
-        while self.busy is None and self.waiting and self.transport is not None:
+        while self.busy is None and self.waiting and self.open():
             self.busy = self.waiting.popleft()
             self.server.handle(self, self.busy)
         if self.transport is not None and not self.transport.is_closing():
@@ -173,9 +183,12 @@
 
     def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None:
         request, self.busy, self.left = self.busy, None, None
-        if request is None or self.transport is None or self.transport.is_closing():
+        if request is None or self.transport is None or not self.open() or self.until_us:
             return
-        keep = request.keep_alive and not (self.server.leaving or self.server.moving or self.ended)
+        # What was read whole behind it is answered too, and the last of those answers tells of the end:
+        # behind an answer with Connection: close a client reads no other.
+        ending = self.server.leaving or self.server.moving or self.ended
+        keep = request.keep_alive and (bool(self.waiting) or not ending)
         body = (text + "\n").encode() if text else b""
         lines = [f"HTTP/1.1 {status.value} {status.phrase}", f"Content-Length: {len(body)}",
                  *(f"{k.replace('_', '-')}: {v}" for k, v in headers.items())]
@@ -186,16 +199,37 @@
         data = "\r\n".join(lines).encode() + b"\r\n\r\n"
         self.transport.write(data if request.method == "HEAD" else data + body)
         self.used_us = self.server.clock()
-        if self.broken and not self.waiting:
-            # The client may still be sending: to close now would reset what it has not read yet.
-            if self.transport.can_write_eof():
-                self.transport.write_eof()
-            self.server.linger(self)
-        elif not keep and not self.waiting:
-            self.transport.close()
+        if not keep:
+            self.finish()
         elif not self.ended:
             asyncio.get_running_loop().call_soon(self.next)
 
+    # Ending
+
+    def finish(self) -> None:
+        """Graceful shutdown. To close with something unread would reset the connection, and what the client
+        has not read of its answers would go: end this side, read on and discard for a while, then close.
+        """
+        if self.transport is None or not self.open() or self.until_us:
+            return
+        self.broken, self.reading, self.raw = True, None, 0
+        self.waiting.clear()
+        if self.ended:
+            return  # all that the client sent is read, and the loop closes
+        try:
+            self.transport.write_eof()
+        except OSError:  # it was reset, and the loop has not read that yet
+            self.transport.abort()
+            return
+        self.server.linger(self)
+
+    def unread(self) -> bool:
+        """Whether the socket holds what the loop has not read yet: it came before the end, and goes first."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
@@ -204,11 +238,13 @@
 
     def stalled_us(self, now: int) -> int:
         """How long a request has stood half read, with none before it that is not answered."""
-        return now - self.reading.came_us if self.reading is not None and self.busy is None else 0
+        before = self.busy is not None or self.waiting
+        return now - self.reading.came_us if self.reading is not None and not before else 0
 
     def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        """Let go between two requests, unless one has come by now: that is answered."""
+        if self.open() and not self.until_us and not self.unread():
+            self.finish()
 
     def abort(self) -> None:
         if self.transport is not None:
