Serve the connections that the listener holds before it closes

Cause: a listener's close resets the clients in its backlog, and asyncio drops without a word what it accepted in the same turn (its transport asserts that the listener is open). Change: stop_listening() takes the listener from the loop, and a turn later takes what is in the backlog, as far as there is room, and closes it. Result: without it "ConnectionResetError: [Errno 104] Connection reset by peer" and, for the accepted ones, no answer within the time-out; the three cases pass with it.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -255,11 +256,13 @@
     """All clients' connections, and how they end."""
 
     clock: Callable[[], int]
+    most: int
 
     def __init__(self) -> None:
         self.connections: set[ClientConnection] = set()
         self.leaving = self.moving = self.closed = False
         self.listener: asyncio.Server | None = None
+        self.accepting: set[asyncio.Task[None]] = set()
 
     def joined(self, connection: ClientConnection) -> None:
         raise NotImplementedError
@@ -280,9 +283,39 @@
     def move(self) -> None:
         """Another process takes the connections from now on; those held here end after their next answer."""
         self.moving = True
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        self.stop_listening()
+
+    def stop_listening(self) -> None:
+        """No connection comes from now on. What asyncio accepted in this very turn has no transport yet, and
+        would be dropped without a word if its listener closed before it has."""
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            loop = asyncio.get_running_loop()
+            for sock in listener.sockets:
+                loop.remove_reader(sock.fileno())
+            loop.call_soon(self.take_last, listener)
+
+    def take_last(self, listener: asyncio.Server) -> None:
+        """Clients in the backlog are connected already: the listener's close would reset them."""
+        loop = asyncio.get_running_loop()
+        for sock in listener.sockets:
+            with sock.dup() as last:
+                for _ in range(max(0, self.most - len(self.connections))):
+                    try:
+                        accepted, _ = last.accept()
+                    except OSError:
+                        break
+                    task = loop.create_task(self.take(accepted))
+                    self.accepting.add(task)
+                    task.add_done_callback(self.accepting.discard)
+        listener.close()
+
+    async def take(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
+        except OSError:
+            accepted.close()
 
     async def close(self) -> None:
         self.closed = True
--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -8,6 +8,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from typing import Any
 
 import pytest
 
@@ -118,6 +119,7 @@
         door = await Door(most).open()
         await scene(door)
         await door.server.close()
+        assert not door.server.accepting
     asyncio.run(run())
 
 
@@ -250,6 +252,38 @@
 # The listener and the end of the process
 
 
+@pytest.mark.parametrize("how", ["move", "stop_listening"])
+def test_connection_accepted_in_the_turn_in_which_the_listener_closes_is_served(how: str) -> None:
+    async def scene(door: Door) -> None:
+        door.at_once = HTTPStatus.ACCEPTED
+        client = Caller(door.port)
+        client.say(message("m"))
+        # Due in the turn in which the loop accepts the connection, and run behind that.
+        asyncio.get_running_loop().call_later(0, getattr(door.server, how))
+        assert (await client.answer())[0] == 202
+        assert door.server.listener is None
+        with pytest.raises(ConnectionRefusedError):
+            Caller(door.port)
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["move"])
+def test_connection_in_the_backlog_when_the_listener_closes_is_served(how: str) -> None:
+    async def scene(door: Door) -> None:
+        door.at_once = HTTPStatus.SERVICE_UNAVAILABLE
+        asking, silent = Caller(door.port), Caller(door.port)
+        asking.say(message("m"))
+        ending: Any = getattr(door.server, how)()  # no turn has passed: none is accepted
+        if ending is not None:
+            ending = asyncio.create_task(ending)
+        assert (await asking.answer())[0] == 503
+        assert await asking.end() == b""
+        if ending is not None:
+            assert await silent.end() == b""
+            await ending
+    play(scene)
+
+
 def test_lingering_ends_though_the_client_says_more_and_more(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene(door: Door) -> None:
         monkeypatch.setattr(server_file, "LINGER_S", 0.001)
