Answer what has no answer when the process ends, and give clients time to read it

Cause: Server.close cut busy and half-read requests with no answer, and closed over what was unread. A message handed in behind the last step was taken in by an engine that decides nothing any more. Change: close() stops listening, waits for answers under way, then refuses what is left with 503 and Connection: close, half-closes, and ends what lingers after CLOSE_S (LET_GO_S where there is time before SIGKILL). The last step freezes the engine. Longest way from SIGTERM to the end: 3.65 s, computed by a test.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -16,6 +16,8 @@
 
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
 LINGER_BYTES = 1 << 20  # read at most of what comes behind a refusal
+TURNS = 4  # of the loop, till what was accepted before them has a transport and its first bytes are read
+CLOSE_S = 0.1  # at the end of the process, the least time for clients to read their answers and to let go
 
 
 class BadRequest(Exception):
@@ -247,6 +249,15 @@
         if self.open() and not self.until_us and not self.unread():
             self.finish()
 
+    def end(self, at_once: bool) -> None:
+        """The process ends. What has no answer is waited for, and at last refused, if it is whole or not."""
+        if self.idle():
+            self.close()
+        elif at_once and self.open():
+            if self.busy is None and not self.waiting:
+                self.busy, self.reading = self.reading, None
+            self.refuse("not ready", Retry_After="1")
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -317,9 +328,18 @@
         except OSError:
             accepted.close()
 
-    async def close(self) -> None:
+    async def close(self, patience_s: float = CLOSE_S) -> None:
+        """The process ends: each request gets an answer, and clients a while to read it and to let go."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + patience_s
+        self.leaving = True
+        self.stop_listening()
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        while (self.connections or self.accepting) and (now := loop.time()) < until:
+            for connection in list(self.connections):
+                connection.end(now >= until - patience_s / 2)
+            await asyncio.sleep(CLOSE_S / 20)
         self.closed = True
-        if self.listener is not None:
-            self.listener.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.abort()
--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -124,7 +124,7 @@
         await self.settled(SETTLE_S)
         if self.again:  # who still waits for an answer is told by the engine that comes after
             return True
-        await self.server.close()
+        await self.server.close(self.patience_s())
         self.predecessor.close()
         if not self.predecessor.given:
             self.store.close()
--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -5,11 +5,16 @@
 import asyncio
 import time
 
+from lemonshunt.net.client_connection import CLOSE_S
 from lemonshunt.net.desk import Desk, log
 
 LISTEN_S = 1.0  # after SIGTERM new connections come for a while
 FREEZE_S = 2.8  # then nothing new is sent, and what is out is waited for
 EXIT_S = 3.3  # and this long after SIGTERM the process ends: SIGKILL may come at 3.7 s
+LET_GO_S = 0.5  # where there is time, clients have so long to read their answers and let go
+# The longest way from SIGTERM to the end: EXIT_S, one step, the last sync (SETTLE_S 0.2, under `power` alone)
+# and CLOSE_S for the clients: 3.65 s.
+STEP_S = 0.05
 
 
 class Stopping(Desk):
@@ -32,7 +37,7 @@
                 log.info("stopped: all else is the new process's")
                 self.done.set()
             else:
-                asyncio.get_running_loop().call_later(0.05, self.stop_step)
+                asyncio.get_running_loop().call_later(STEP_S, self.stop_step)
             return
         if passed >= FREEZE_S and not self.frozen:
             if self.arriving or self.events:
@@ -42,6 +47,13 @@
         if nothing or passed >= EXIT_S or (self.frozen and not self.pool.out and not self.store.owed):
             log.info("stopped: %d messages and %d owed ends stay in the journal",
                      len(self.store.messages), len(self.store.owed))
+            # From this moment on: what comes before `run` goes on would be taken in and never decided on.
+            self.frozen = True
             self.done.set()
             return
-        asyncio.get_running_loop().call_later(0.05, self.stop_step)
+        asyncio.get_running_loop().call_later(STEP_S, self.stop_step)
+
+    def patience_s(self) -> float:
+        """How long clients may take to let go at the end."""
+        left = self.leaving_s + EXIT_S + CLOSE_S - time.monotonic()
+        return max(CLOSE_S, min(LET_GO_S, left))
--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -4,20 +4,25 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from http import HTTPStatus
+from pathlib import Path
 from typing import Any
 
 import pytest
 
 from lemonshunt.net import server as server_file
-from lemonshunt.net.client_connection import ClientConnection
-from lemonshunt.net.engine import Clock
+from lemonshunt.net import starting, stopping
+from lemonshunt.net.client_connection import CLOSE_S, ClientConnection
+from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.engine import Clock, Engine
 from lemonshunt.net.server import Asker, Handed, Server
 from lemonshunt.wirehost import settings
-from tests.sockets import PATIENCE, SETTINGS, message
+from tests.sockets import OK, PATIENCE, SETTINGS, Peer, Platform, always, hang, message
 
 UP = b"GET /up HTTP/1.1\r\n\r\n"
 HALF = message("half")[:-3]
@@ -267,7 +272,7 @@
     play(scene)
 
 
-@pytest.mark.parametrize("how", ["move"])
+@pytest.mark.parametrize("how", ["move", "close"])
 def test_connection_in_the_backlog_when_the_listener_closes_is_served(how: str) -> None:
     async def scene(door: Door) -> None:
         door.at_once = HTTPStatus.SERVICE_UNAVAILABLE
@@ -284,6 +289,74 @@
     play(scene)
 
 
+def test_at_the_end_whole_and_half_requests_are_refused_and_silent_clients_let_go() -> None:
+    async def scene(door: Door) -> None:
+        left: list[str] = []
+        busy, resting, silent, half = (await door.busy(), await door.resting(), Caller(door.port),
+                                       Caller(door.port))
+        door.handed[0][1].left = lambda: left.append("m")
+        half.say(HALF)
+        await door.until(lambda: len(door.server.connections) == 4
+                         and any(c.reading is not None for c in door.server.connections))
+        ending = asyncio.create_task(door.server.close())
+        for client in (busy, half):
+            status, head = await client.answer()
+            assert status == 503 and "Connection: close" in head
+            assert await client.end() == b""
+        assert left == ["m"]  # it was told to whoever held it before the refusal left
+        assert await resting.end() == await silent.end() == b""
+        half.say(message("half")[-3:])  # its rest crosses the refusal, and resets nothing
+        for client in (busy, resting, silent, half):
+            client.socket.close()
+        await ending
+        assert [h.id for h, _ in door.handed] == ["m"] and not door.server.connections
+    play(scene)
+
+
+def test_request_read_whole_behind_a_busy_one_is_refused_at_the_end_too() -> None:
+    async def scene(door: Door) -> None:
+        client = Caller(door.port)
+        client.say(message("a") + message("b"))
+        await door.until(lambda: bool(door.handed))
+        ending = asyncio.create_task(door.server.close())
+        assert [(await client.answer())[0] for _ in range(2)] == [503, 503]
+        assert await client.end() == b"" and [h.id for h, _ in door.handed] == ["a"]
+        await ending
+    play(scene)
+
+
+def test_answer_that_comes_while_the_process_ends_goes_before_a_refusal() -> None:
+    """A message that another process has taken on: its 202 is under way."""
+    async def scene(door: Door) -> None:
+        client = await door.busy()
+        held, looked_at = door.of(client), asyncio.Event()
+        end = held.end
+
+        def looked(at_once: bool) -> None:
+            end(at_once)
+            looked_at.set()
+        held.end = looked  # type: ignore[method-assign]
+        ending = asyncio.create_task(door.server.close(PATIENCE))
+        async with asyncio.timeout(PATIENCE):
+            await looked_at.wait()
+        door.handed[0][1].answer(HTTPStatus.ACCEPTED)
+        assert (await client.answer())[0] == 202 and await client.end() == b""
+        client.socket.close()
+        await ending
+    play(scene)
+
+
+def test_clients_that_never_let_go_do_not_keep_the_process() -> None:
+    async def scene(door: Door) -> None:
+        clients = [await door.resting(), await door.busy()]
+        held = list(door.server.connections)
+        async with asyncio.timeout(PATIENCE):
+            await door.server.close()
+        await door.until(lambda: all(c.transport is None for c in held))
+        del clients
+    play(scene)
+
+
 def test_lingering_ends_though_the_client_says_more_and_more(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene(door: Door) -> None:
         monkeypatch.setattr(server_file, "LINGER_S", 0.001)
@@ -311,3 +384,149 @@
             client.say(UP)
             assert (await client.answer())[0] == 200
     play(scene, most=2)
+
+
+# The engine's steps
+
+
+def engine(folder: Path, platform: Platform, **more: Any) -> Engine:
+    hosts = tuple(host(raw) for raw in platform.hosts.values())
+    listen, discovery = Address("127.0.0.1", 0), Address("127.0.0.1", platform.port or 9)
+    config = Config("n", listen, discovery, folder, 1, 192, 256, 3_000_000, HostList(1, True, hosts),
+                    settings(SETTINGS), ("x0", "x1"))
+    return Engine(replace(config, **more))
+
+
+class Running:
+    """An engine in the test's own loop, so that a test can put its steps where it wants them."""
+
+    def __init__(self, folder: Path, platform: Platform, **more: Any) -> None:
+        self.engine = engine(folder, platform, **more)
+        self.task = asyncio.create_task(self.engine.run())
+
+    async def ready(self) -> Running:
+        await self.until(lambda: self.engine.serving)
+        assert self.engine.server.listener is not None
+        self.port = int(self.engine.server.listener.sockets[0].getsockname()[1])
+        return self
+
+    async def until(self, test: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not test():
+                assert not self.task.done() or test(), self.task
+                await asyncio.sleep(0.001)
+
+    def told_to_stop(self, ago_s: float) -> None:
+        """SIGTERM was so long ago; its next step is the test's to make."""
+        self.engine.leaving_s = asyncio.get_running_loop().time() - ago_s
+        self.engine.server.leaving = True
+
+    async def end(self) -> None:
+        self.engine.done.set()
+        async with asyncio.timeout(PATIENCE):
+            assert await self.task is False
+
+
+def engine_play(scene: Callable[[Platform, Path], Awaitable[None]], folder: Path) -> None:
+    async def run() -> None:
+        platform = Platform()
+        await platform.start()
+        await scene(platform, folder)
+    asyncio.run(run())
+
+
+async def target(platform: Platform, handler: Any) -> Peer:
+    peer = await Peer(handler).start()
+    platform.host("s1", peer.port)
+    return peer
+
+
+def test_message_that_comes_in_the_turn_of_the_end_is_answered(tmp_path: Path) -> None:
+    """Behind the last step, and before the process goes on to its end, the loop may still run a client's
+    turn. What came then was taken in, never decided on, and cut."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        run = await Running(folder, platform).ready()
+        answers: list[HTTPStatus] = []
+
+        class Waiting:
+            left: Callable[[], None] | None = None
+
+            def answer(self, status: HTTPStatus, text: str = "", **headers: str) -> None:
+                answers.append(status)
+        run.told_to_stop(1.0)
+        run.engine.stop_step()
+        assert run.engine.done.is_set()
+        due = run.engine.clock() + 10_000_000
+        run.engine.hand_in(Handed("m", "status", 7, due, None, None, "acme", False, b""), Waiting())
+        assert answers == [HTTPStatus.SERVICE_UNAVAILABLE]
+        await run.end()
+        assert not peer.requests
+    engine_play(scene, tmp_path)
+
+
+def test_engine_with_nothing_held_refuses_what_crosses_its_end(tmp_path: Path) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        run = await Running(folder, platform).ready()
+        resting, unaccepted = Caller(run.port), None
+        resting.say(UP)
+        assert (await resting.answer())[0] == 200
+        run.told_to_stop(1.0)
+        resting.say(message("a"))
+        unaccepted = Caller(run.port)
+        unaccepted.say(message("b"))
+        run.engine.stop_step()
+        for client in (resting, unaccepted):
+            status, head = await client.answer()
+            assert status == 503 and "Connection: close" in head and await client.end() == b""
+            client.socket.close()
+        await run.end()
+        assert not peer.requests and not run.engine.server.connections
+    engine_play(scene, tmp_path)
+
+
+def test_longest_way_from_sigterm_to_the_end_leaves_room_before_sigkill() -> None:
+    """SIGKILL may come 3.7 s after SIGTERM."""
+    longest = stopping.EXIT_S + stopping.STEP_S + starting.SETTLE_S + CLOSE_S
+    assert longest <= 3.66
+    assert stopping.LISTEN_S < stopping.FREEZE_S < stopping.EXIT_S
+
+
+def test_patience_at_the_end_fits_before_sigkill_at_every_step(tmp_path: Path) -> None:
+    async def scene() -> None:
+        e = engine(tmp_path, Platform())
+        now = asyncio.get_running_loop().time()
+        for passed in (1.0, 2.8, 3.0, 3.3, 3.5):
+            e.leaving_s = now - passed
+            assert CLOSE_S <= e.patience_s() <= max(CLOSE_S, stopping.EXIT_S + CLOSE_S - passed) + 1e-6
+        e.leaving_s = now - 1.0
+        assert e.patience_s() == stopping.LET_GO_S
+        e.store.close()
+    asyncio.run(scene())
+
+
+def test_client_that_rests_until_the_end_sees_no_reset_and_its_crossing_request_goes_nowhere(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        run = await Running(folder, platform).ready()
+        resting, busy = Caller(run.port), Caller(run.port)
+        for client, data in ((resting, UP), (busy, message("held", "status"))):
+            client.say(data)
+            assert (await client.answer())[0] in (200, 202)
+        await peer.got(1)
+        run.told_to_stop(1.0)
+        run.engine.stop_step()
+        resting.say(message("crossed"))  # after the shutdown
+        assert await resting.end() == await busy.end() == b""
+        resting.socket.close()
+        await run.end()
+        assert [r.headers["x-correlation-id"] for r in peer.requests] == ["held"]
+        again = await Running(folder, platform).ready()
+        await peer.got(2)
+        assert {r.headers["x-correlation-id"] for r in peer.requests} == {"held"}
+        await again.end()
+        assert not caplog.messages
+    with caplog.at_level(logging.ERROR):
+        engine_play(scene, tmp_path)
