Send clients' answers at once: TCP_NODELAY was never set on their connections

Cause: asyncio sets TCP_NODELAY where a socket's protocol number is IPPROTO_TCP. socket.create_server makes its socket with number 0, and accepted ones inherit that. So small answers behind an unacknowledged one were held back by the system, and went with a connection that was reset. An inherited listener is not affected: its number is read from the system. Change: connection_made sets it. Result: without it "assert 0 ... getsockopt(6, 1)" on a connection with proto=0; with it the test passes.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -57,6 +58,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        # asyncio sets it only where the listener was made with the protocol's number, and ours was not. An
+        # answer that the system holds back goes with a connection that is reset.
+        with suppress(OSError):
+            transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server.joined(self)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -282,6 +282,9 @@
         if ending is not None:
             ending = asyncio.create_task(ending)
         assert (await asking.answer())[0] == 503
+        nodelay = [c.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                   for c in door.server.connections if c.transport is not None]
+        assert nodelay and all(nodelay)
         assert await asking.end() == b""
         if ending is not None:
             assert await silent.end() == b""
@@ -289,6 +292,16 @@
     play(scene)
 
 
+def test_what_the_system_holds_back_is_nothing() -> None:
+    """Small writes leave at once: none is lost with a connection that is reset."""
+    async def scene(door: Door) -> None:
+        client = await door.resting()
+        transport = door.of(client).transport
+        assert transport is not None
+        assert transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    play(scene)
+
+
 def test_at_the_end_whole_and_half_requests_are_refused_and_silent_clients_let_go() -> None:
     async def scene(door: Door) -> None:
         left: list[str] = []
