Send nothing after the freeze: calls that still dial are booked as never sent

The next process must take either as run: a message that must not run twice was then given up with no call. Change: the freeze and the end cut dials while outcomes are still booked. Result: without the first the endpoint gets the call ("assert not [Request(method='POST', path='/hook'...)]"), without the second the next process never sends it (time-out of the test); both pass.

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -114,10 +114,10 @@
         self.recall_more()
         await self.done.wait()
         self.frozen = True
-        self.pool.cut_dials()  # what is on no connection yet has never run: the next start still tries it
-        self.closed = True
         self.watch.pause()
         self.notices.pause()
+        self.pool.cut_dials()  # booked as never sent, before outcomes are left to the journal
+        self.closed = True
         self.pool.close()
         if self.fleet is not None and not self.predecessor.given:  # else all is the new process's
             self.fleet.pause()
--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -43,6 +43,9 @@
             if self.arriving or self.events:
                 self.round()
             self.frozen = True
+            # What has not left by now never does: else a call could go out just before the end, which the
+            # process after this one must take as run. Unsent, it is tried there.
+            self.pool.cut_dials()
         nothing = not self.store.messages and not self.store.owed and not self.arriving
         if nothing or passed >= EXIT_S or (self.frozen and not self.pool.out and not self.store.owed):
             log.info("stopped: %d messages and %d owed ends stay in the journal",
--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -499,6 +499,45 @@
     engine_play(scene, tmp_path)
 
 
+@pytest.mark.parametrize("step", ["freeze", "exit"])
+def test_call_whose_connection_comes_up_after_the_freeze_never_leaves_and_is_tried_by_the_next(
+        tmp_path: Path, step: str) -> None:
+    """Sent a moment before the end, or left in the journal as out, it may have run: a message that must not
+    run twice was then given up with no call."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, always(OK))
+        run = await Running(folder, platform).ready()
+        up, dialing = asyncio.Event(), asyncio.Event()
+        dial = run.engine.pool.dial
+
+        async def late(*args: Any) -> None:
+            dialing.set()
+            await up.wait()
+            await dial(*args)
+        run.engine.pool.dial = late  # type: ignore[method-assign]
+        client = Caller(run.port)
+        client.say(message("m", "pay", Idempotency_Key=None))
+        assert (await client.answer())[0] == 202
+        async with asyncio.timeout(PATIENCE):
+            await dialing.wait()
+        if step == "freeze":
+            run.told_to_stop(stopping.FREEZE_S)
+            run.engine.stop_step()
+            up.set()
+            await asyncio.wait(set(run.engine.pool.dials), timeout=PATIENCE)
+        client.socket.close()
+        dials = set(run.engine.pool.dials)
+        await run.end()
+        for task in dials:  # the process is gone, and its dials with it
+            task.cancel()
+        assert not peer.requests
+        again = await Running(folder, platform).ready()
+        await peer.got(1)
+        assert peer.requests[0].headers["x-correlation-id"] == "m" and not platform.notices
+        await again.end()
+    engine_play(scene, tmp_path)
+
+
 def test_longest_way_from_sigterm_to_the_end_leaves_room_before_sigkill() -> None:
     """SIGKILL may come 3.7 s after SIGTERM."""
     longest = stopping.EXIT_S + stopping.STEP_S + starting.SETTLE_S + CLOSE_S
