Leave a new connection its time for a first request while stopping

Change: one that is younger than 300 ms stays; the end of the process closes it anyhow. Result: without it "ended with no answer"; with it the request is answered, and a silent one is closed later.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -17,6 +17,7 @@
 
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
 LINGER_BYTES = 1 << 20  # read at most of what comes behind a refusal
+FRESH_US = 300_000  # a new connection is left so long for its first request, also by a process that stops
 TURNS = 4  # of the loop, till what was accepted before them has a transport and its first bytes are read
 CLOSE_S = 0.1  # at the end of the process, the least time for clients to read their answers and to let go
 
@@ -290,10 +291,11 @@
         raise NotImplementedError
 
     def leave(self) -> None:
-        """Go on answering; let go of connections between requests only."""
+        """Go on answering; let go of connections between requests only, and of new ones not at once."""
         self.leaving = True
+        fresh = self.clock() - FRESH_US
         for connection in list(self.connections):
-            if connection.idle():
+            if connection.idle() and (connection.requests or connection.came_us <= fresh):
                 connection.close()
 
     def move(self) -> None:
--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from lemonshunt.net import client_connection, starting, stopping
 from lemonshunt.net import server as server_file
-from lemonshunt.net import starting, stopping
 from lemonshunt.net.client_connection import CLOSE_S, ClientConnection
 from lemonshunt.net.config import Address, Config, HostList, host
 from lemonshunt.net.engine import Clock, Engine
@@ -206,6 +206,20 @@
     play(scene)
 
 
+def test_new_connection_is_not_let_go_before_its_first_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(door: Door) -> None:
+        client, silent = Caller(door.port), Caller(door.port)
+        await door.until(lambda: len(door.server.connections) == 2)
+        door.server.leave()
+        door.at_once = HTTPStatus.ACCEPTED
+        client.say(message("m"))
+        assert (await client.answer())[0] == 202 and await client.end() == b""
+        monkeypatch.setattr(client_connection, "FRESH_US", 0)
+        door.server.leave()
+        assert await silent.end() == b""  # though not for ever
+    play(scene)
+
+
 # Requests behind an answer that ends the connection
 
 
@@ -542,7 +556,7 @@
     """SIGKILL may come 3.7 s after SIGTERM."""
     longest = stopping.EXIT_S + stopping.STEP_S + starting.SETTLE_S + CLOSE_S
     assert longest <= 3.66
-    assert stopping.LISTEN_S < stopping.FREEZE_S < stopping.EXIT_S
+    assert stopping.LISTEN_S + client_connection.FRESH_US / 1e6 < stopping.FREEZE_S < stopping.EXIT_S
 
 
 def test_patience_at_the_end_fits_before_sigkill_at_every_step(tmp_path: Path) -> None:
