Keep booking outcomes until the last sync at the end of the process

Change: outcomes are booked until the last sync is over or its time is up; then connections to endpoints are closed.

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -116,12 +116,12 @@
         self.frozen = True
         self.watch.pause()
         self.notices.pause()
-        self.pool.cut_dials()  # booked as never sent, before outcomes are left to the journal
-        self.closed = True
-        self.pool.close()
+        self.pool.cut_dials()
         if self.fleet is not None and not self.predecessor.given:  # else all is the new process's
             self.fleet.pause()
-        await self.settled(SETTLE_S)
+        await self.settled(SETTLE_S)  # calls that wait for this are still booked as never sent
+        self.closed = True
+        self.pool.close()
         if self.again:  # who still waits for an answer is told by the engine that comes after
             return True
         await self.server.close(self.patience_s())
