--- a/tests/test_crossing_stopping.py
+++ b/tests/test_crossing_stopping.py
@@ -178,10 +178,11 @@
     play(scene)
 
 
-def test_written_answer_outlives_what_came_behind_its_request() -> None:
+@pytest.mark.parametrize("how", ["leaving", "moving"])
+def test_written_answer_outlives_what_came_behind_its_request(how: str) -> None:
     async def scene(door: Door) -> None:
         client = await door.busy()
-        door.server.leaving = True
+        setattr(door.server, how, True)
         client.say(message("crossed"))  # unread when the answer ends the connection
         door.handed[0][1].answer(HTTPStatus.ACCEPTED)
         status, head = await client.answer()
