Take the last connections on the listener's own descriptor, with no copy of it

Cause: the copy was one system call more that may fail, and then the listener stayed open. Change: a socket object on the same descriptor, detached afterwards. Result: tests/test_crossing_stopping.py and tests/test_handover.py pass as before.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -317,15 +317,17 @@
         """Clients in the backlog are connected already: the listener's close would reset them."""
         loop = asyncio.get_running_loop()
         for sock in listener.sockets:
-            with sock.dup() as last:
-                for _ in range(max(0, self.most - len(self.connections))):
-                    try:
-                        accepted, _ = last.accept()
-                    except OSError:
-                        break
-                    task = loop.create_task(self.take(accepted))
-                    self.accepting.add(task)
-                    task.add_done_callback(self.accepting.discard)
+            last = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+            last.setblocking(False)
+            for _ in range(max(0, self.most - len(self.connections))):
+                try:
+                    accepted, _ = last.accept()
+                except OSError:
+                    break
+                task = loop.create_task(self.take(accepted))
+                self.accepting.add(task)
+                task.add_done_callback(self.accepting.discard)
+            last.detach()  # it is the listener's
         listener.close()
 
     async def take(self, accepted: socket.socket) -> None:
