Show that a repeat after a restart is not taken on beside the first

The test passed with the guard of hand_in taken out, as the second record replaced the first. It now counts what was taken on: without the guard "2 == 1", with it it passes.

--- a/tests/test_crossing_clients.py
+++ b/tests/test_crossing_clients.py
@@ -375,6 +375,7 @@
         again.say(message("m", "pay", X_Repeat="again"))
         assert (await again.answer())[0] == 202
         assert not s.engine.arriving and list(s.engine.store.messages) == ["m"]
+        assert s.engine.figures.taken == 1  # the one of before, and none beside it
         await s.delivered("m")
     play(scene, tmp_path)
 
