Weigh the messages that join a call to a warming destination

Cause: where a destination was back from its outage, any number of held messages joined the call that was let go, up to the batch (20), and each weighs a little there (WIRE, rule 4).

Change: a call to a warming target weighs at most a quarter of our even share of what is borne, and its next turn is as much further away as it weighs more than one message. A quarter of a message counts for each further one: no figure is told for "a little".

Without the mend: test_silent_weights_and_batches_keep_few_to_the_bound[batch-2-1.0]: Verdict(count=16.4, limit=9.0, pushed=True) test_few_messages_join_a_call_to_a_target_that_is_warming: assert 4 == 1 and two more; with it all pass.

--- a/lemonshunt/choice/health.py
+++ b/lemonshunt/choice/health.py
@@ -18,6 +18,8 @@
 SPREAD = 0.5  # each turn is that much longer or shorter, by chance: forwarders must not meet again and again
 ROUGH = 1.5  # a weight may be up to half too high (WIRE, weight_source)
 UNTOLD_CALLS = 1.0  # the least budget, in calls, where nothing is told: under it one call may be too much
+JOIN_PART = 4  # such a call weighs at most that part of our even share of what is borne
+ITEM_WEIGHT = 0.25  # of a call is "a little weight" (WIRE, rule 4): what each further message of it counts
 
 
 def in_outage(t: Target) -> bool:
@@ -80,6 +82,17 @@
     return max(0.0, half - math.sqrt(max(0.0, half ** 2 - most ** 2 + SIGMAS ** 2 * fixed)))
 
 
+def weight(messages: int) -> float:
+    """What a call of so many messages counts."""
+    return 1 + ITEM_WEIGHT * (messages - 1)
+
+
+def may_join(b: Books, t: Target, joined: int) -> bool:
+    """Whether one more message may travel in a call to a cold target: its turns are as much further
+    apart, but some such calls of each forwarder may meet in fall_us."""
+    return t.back_at >= 0 and JOIN_PART * sharing(b, t) * weight(joined + 1) <= bound(b, t)
+
+
 def drawn(b: Books) -> float:
     """How many turns after this call the next may go."""
     return b.random.uniform(1 - SPREAD, 1 + SPREAD)
--- a/lemonshunt/choice/limits.py
+++ b/lemonshunt/choice/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lemonshunt.choice.books import NEVER, SECOND, Books
-from lemonshunt.choice.health import cold, turn
+from lemonshunt.choice.health import cold, may_join, turn
 from lemonshunt.state import Place, Target
 
 HEALTHY_CAP = 0.75  # share of the slots that one destination may hold: the design's three quarters
@@ -61,7 +61,7 @@
     """The gate's part that is the same for every message: slots, window, pace, rest, turn."""
     call, place = b.round_calls.get(t.id), t.place
     joins = call is not None and call.joined < t.batch
-    if joins and (not cold(b, t) or t.back_at >= 0):
+    if call is not None and joins and (not cold(b, t) or may_join(b, t, call.joined)):
         return b.now
     here = sum(other.out for other in b.by_destination[t.destination])
     if not joins and (b.calls_out >= b.s.slots or here >= max(1, int(HEALTHY_CAP * b.s.slots))
--- a/lemonshunt/choice/order.py
+++ b/lemonshunt/choice/order.py
@@ -8,7 +8,7 @@
 from lemonshunt import interface as i
 from lemonshunt.choice.books import FORGET_US, LOOK_US, NEVER, Books
 from lemonshunt.choice.giving import age, fades_at
-from lemonshunt.choice.health import SURE_MARK, drawn, in_outage
+from lemonshunt.choice.health import SURE_MARK, drawn, in_outage, weight
 from lemonshunt.choice.limits import has_room, paced, room_at
 from lemonshunt.state import Attempt, Call, Message, Place, Target
 
@@ -88,6 +88,8 @@
         call = begin(b, m, t)
     t.tried_at = b.now
     call.joined, call.messages = call.joined + 1, call.messages + 1
+    if call.joined > 1:  # what it weighs more is made good by the time until the next
+        t.spread *= weight(call.joined) / weight(call.joined - 1)
     if m.key is not None:
         b.lines[m.key].out += 1
     b.attempts[(m.id, m.attempts)] = Attempt(m, call)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -32,7 +32,7 @@
 
 
 @pytest.mark.parametrize("scene, n, seed", [
-    ("long", 1.0, 2), ("short", 0.3, 3), ("apart", 1.0, 3),
+    ("long", 1.0, 2), ("short", 0.3, 3), ("batch", 4.0, 1), ("apart", 1.0, 3),
     ("restart", 1.0, 2), ("untold", 1.0, 2)])
 def test_thirty_forwarders_keep_to_the_bound(scene: str, n: float, seed: int) -> None:
     verdict = played(SCENES[scene](30, n, seed))
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize("forwarders, n", [(2, 1.0), (4, 4.0)])
-@pytest.mark.parametrize("scene", ["untold"])
+@pytest.mark.parametrize("scene", ["batch", "untold"])
 def test_silent_weights_and_batches_keep_few_to_the_bound(scene: str, forwarders: int, n: float) -> None:
     play = SCENES[scene](forwarders, n if scene == "batch" else max(1.0, n), 1)
     verdict = played(play)
@@ -139,3 +139,26 @@
     assert d.cold(t), "it may have come back with that very call"
     d.handle(now + 11 * S, [])
     assert not d.cold(t)
+
+
+def warming(**changes: object) -> Dispatcher:
+    d = dispatcher(kind="lots", **changes)
+    d.handle(S, [i.OutageRecalled(1, 0, S)])
+    d.targets[1].tried_at = -1000 * S
+    return d
+
+
+def test_few_messages_join_a_call_to_a_target_that_is_warming() -> None:
+    """A batch of any size used to leave at once; each further message of a call weighs a little."""
+    d = warming(balancers=30, weight=40.0)
+    assert len(sends(d.handle(S, [ask(f"m{n}") for n in range(9)]))) == 1
+    d = warming(balancers=1, weight=40.0)
+    assert len(sends(d.handle(S, [ask(f"m{n}") for n in range(9)]))) == 4
+
+
+def test_what_a_joined_message_weighs_is_made_good_by_the_next_turn() -> None:
+    one, four = warming(balancers=1, weight=40.0), warming(balancers=1, weight=40.0)
+    one.handle(S, [ask("m0")])
+    four.handle(S, [ask(f"m{n}") for n in range(4)])
+    assert four.targets[1].spread >= 0.5 * health.weight(4) and health.weight(4) == 1.75
+    assert one.targets[1].spread <= 1.5
