Hold what shares a limit to be out together where many forwarders send there

Change: with many forwarders (more than 8, as elsewhere) a sign of an outage at one endpoint counts for those of its limit that have not answered since the failed call was sent, unless it was a refusal. They take turns and warm together, as they did before from the return on. With few forwarders nothing changes: their trials are few. Price: where one endpoint hangs alone, forwarders that call seldom leave its fellows alone until their turn.

--- a/lemonshunt/choice/health.py
+++ b/lemonshunt/choice/health.py
@@ -5,7 +5,7 @@
 import math
 
 from lemonshunt import interface as i
-from lemonshunt.choice.books import SECOND, Books
+from lemonshunt.choice.books import FEW, SECOND, Books
 from lemonshunt.interface import Outcome
 from lemonshunt.state import Target
 
@@ -103,6 +103,7 @@
     back lies between the last call that failed and this one: half way, but where turns are long not earlier
     than half of fall_us ago, as those who hear first would otherwise hold it to be warm."""
     if outcome is Outcome.DELIVERED:
+        target.well_at = b.now
         if in_outage(target) and target.failing <= FAIL_MARK:
             back_at = max((b.now + target.failed_at) // 2, b.now - b.s.fall_us // 2)
             warming(b, target, max(target.outage_at, back_at))
@@ -118,11 +119,23 @@
             b.actions.append(i.Note(f"target {target.id} in outage: {outcome.value}"))
             target.outage_at = b.now
             target.spread = b.random.random()  # from the middle of a turn: many may have learned at once
+            if outcome is not Outcome.FULL:
+                doubt(b, target)
         if target.back_at >= 0 or target.outage_at == b.now:
             b.actions.append(i.Outage(target.id, target.outage_at))
         target.back_at = -1
 
 
+def doubt(b: Books, target: Target) -> None:
+    """Outages mostly take all that share a limit. Where many forwarders share it, those that have not
+    answered since the call that failed are held to be out as well: what all send over to them adds up."""
+    for t in b.by_destination.get(target.destination, ()):
+        if b.s.balancers > FEW and t.place is target.place and not cold(b, t) and t.well_at < target.tried_at:
+            t.outage_at, t.back_at, t.spread = b.now, -1, b.random.random()
+            t.tried_at = max(t.tried_at, target.tried_at)
+            b.actions.append(i.Outage(t.id, t.outage_at))
+
+
 def warming(b: Books, t: Target, back_at: int) -> None:
     t.back_at = back_at
     b.actions.append(i.Outage(t.id, t.outage_at, back_at))
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -11,7 +11,7 @@
 from lemonshunt.interface import MessageClass
 
 # What a process that takes over is told of each record; the rest is in the journal or counted anew.
-TARGET_KEPT = ("failing", "failed_at", "tried_at", "outage_at", "back_at", "spread")
+TARGET_KEPT = ("failing", "failed_at", "well_at", "tried_at", "outage_at", "back_at", "spread")
 PLACE_KEPT = ("window", "mean", "seed", "mean_at", "wait_until", "rest_until", "rest", "cut_at", "limit",
               "left", "shares", "pace_at")
 MESSAGE_KEPT = ("over_share", "waited", "avoid")
@@ -81,6 +81,8 @@
     """When the first call succeeded after the outage; -1 while it lasts."""
     failed_at: int = -1
     """When a call to it last failed."""
+    well_at: int = -1
+    """When a call to it last succeeded."""
     spread: float = 1.0
     """How many turns after the last call the next may go while it is cold."""
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -32,7 +32,7 @@
 
 
 @pytest.mark.parametrize("scene, n, seed", [
-    ("long", 1.0, 2), ("short", 0.3, 3), ("batch", 4.0, 1), ("apart", 1.0, 3),
+    ("long", 1.0, 2), ("short", 0.3, 3), ("batch", 4.0, 1), ("shared", 0.3, 1), ("apart", 1.0, 3),
     ("restart", 1.0, 2), ("untold", 1.0, 2)])
 def test_thirty_forwarders_keep_to_the_bound(scene: str, n: float, seed: int) -> None:
     verdict = played(SCENES[scene](30, n, seed))
@@ -48,7 +48,7 @@
 
 
 def test_two_hundred_forwarders_keep_to_the_bound() -> None:
-    verdict = played(replace(SCENES["short"](200, 1.0, 1), every_us=16 * S))
+    verdict = played(replace(SCENES["shared"](200, 1.0, 1), every_us=16 * S))
     assert verdict.part <= 1 and not verdict.pushed, verdict
 
 
@@ -162,3 +162,36 @@
     four.handle(S, [ask(f"m{n}") for n in range(4)])
     assert four.targets[1].spread >= 0.5 * health.weight(4) and health.weight(4) == 1.75
     assert one.targets[1].spread <= 1.5
+
+
+@pytest.mark.parametrize("balancers, free", [(40, False), (2, True)])
+def test_in_a_fleet_what_shares_a_limit_shares_its_outage(balancers: int, free: bool) -> None:
+    """Outages mostly take all that share a limit; messages of the first used to go over to the others."""
+    d = dispatcher(entries=2, balancers=balancers, weight=400.0)
+    out = sends(d.handle(3 * S, [ask("m", due=30 * S)]))[0]
+    told = d.handle(4 * S, [end(out, FAILED, took=S)])
+    assert d.avoids(out.target) and d.avoids(3 - out.target) is not free
+    assert {a.target for a in told if isinstance(a, i.Outage)} == ({out.target} if free else {1, 2})
+    assert not free or sends(told)
+
+
+def test_an_endpoint_that_answered_since_stays_free() -> None:
+    d = dispatcher(entries=2, balancers=40, weight=400.0)
+    d.targets[1].place.window = 6.0
+    one = sends(d.handle(3 * S, [ask("m0", due=30 * S)]))[0]
+    two = sends(d.handle(3 * S + 1, [ask("m1", due=30 * S)]))[0]
+    assert one.target != two.target
+    d.handle(3 * S + MS, [end(one, OK, took=MS)])
+    d.handle(4 * S, [end(two, FAILED, took=S)])
+    assert d.avoids(two.target) and not d.avoids(one.target)
+
+
+def test_what_shares_a_limit_warms_together() -> None:
+    d = dispatcher(entries=2, balancers=40, weight=4.0)
+    out = sends(d.handle(3 * S, [ask("m", due=90 * S)]))[0]
+    now = 4 * S
+    d.handle(now, [end(out, FAILED, took=S)])
+    while not (again := sends(d.handle(now, [i.TimerDue("look")]))):
+        now += 100 * MS
+    d.handle(now + MS, [end(again[0], OK, attempt=1, took=MS)])
+    assert all(d.cold(t) and not d.avoids(t.id) for t in d.targets.values())
