Refuse requests whose head says two things, other versions, and pipelines without end

Cause: ClientConnection took HTTP/0.9 and 2.0, two Host lines, a coding ahead of chunked, chunks in HTTP/1.0, paths of 70 KB, and two tenants or marks in one head, and answered them 202; and it read as many pipelined requests at once as one piece held, while all others waited. Change: such heads are refused (400, 414, 501, 505), and past 64 requests ahead the connection is broken off with 400: clients send one at a time.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -16,10 +16,17 @@
 from lemonshunt.net.http import MOST_BODY, MOST_HEAD
 
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
+MOST_AHEAD = 64  # and in one piece at most: clients send one request at a time
 LINGER_BYTES = 1 << 20  # read at most of what comes behind a refusal
 FRESH_US = 300_000  # a new connection is left so long for its first request, also by a process that stops
 TURNS = 4  # of the loop, till what was accepted before them has a transport and its first bytes are read
 CLOSE_S = 0.1  # at the end of the process, the least time for clients to read their answers and to let go
+VERSIONS = ("1.0", "1.1")
+SINGLE = frozenset(("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key", "x-session-key",
+                    "x-account", "x-repeat"))
+"""Headers that must not stand twice: whoever reads the other one reads another message."""
+FRAMING = frozenset(("host", "transfer-encoding", "content-length"))
+"""Nor must these, and what follows such a request is not to be trusted."""
 
 
 class BadRequest(Exception):
@@ -130,6 +137,9 @@
 
     def on_url(self, url: bytes) -> None:
         if self.reading is not None:
+            self.reading.size += len(url)
+            if self.reading.size > MOST_HEAD:
+                raise BadRequest(HTTPStatus.REQUEST_URI_TOO_LONG, "the path is too long")
             self.reading.path += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -141,21 +151,26 @@
                 return  # a trailer says nothing that counts here
             known = self.reading.headers
             low = name.decode("latin-1").lower()
-            if low in known and low in ("x-correlation-id", "x-time-left", "x-addressing", "idempotency-key",
-                                         "x-session-key"):
+            if low in known and low in FRAMING:
+                raise BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
+            if low in known and low in SINGLE:
                 self.reading.bad = BadRequest(HTTPStatus.BAD_REQUEST, f"{low} stands twice")
             known[low] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         self.in_head = False
-        if self.reading is not None and self.transport is not None:
+        if self.reading is not None and self.transport is not None and self.parser is not None:
             headers = self.reading.headers
+            version = self.parser.get_http_version()
+            if version not in VERSIONS:
+                raise BadRequest(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP/1.1 is spoken here")
             coding = headers.get("transfer-encoding")
             # Where the body ends must not be open to argument, or it may hide a request that another reads:
             # the parser refuses both lengths at once, repeated and signed ones; the rest is refused here.
-            if coding is not None and (coding.lower() != "chunked" or "content-length" in headers):
+            if coding is not None and (coding.lower() != "chunked" or "content-length" in headers
+                                       or version == "1.0"):
                 raise BadRequest(HTTPStatus.NOT_IMPLEMENTED, "no such Transfer-Encoding")
-            if self.parser is not None and self.parser.should_upgrade():
+            if self.parser.should_upgrade():
                 raise BadRequest(HTTPStatus.NOT_IMPLEMENTED, "no other protocol is spoken here")
             length = headers.get("content-length", "0")
             if length.isdigit() and int(length) > MOST_BODY:
@@ -170,6 +185,8 @@
             self.reading.body += body
 
     def on_message_complete(self) -> None:
+        if len(self.waiting) >= MOST_AHEAD:
+            raise BadRequest(HTTPStatus.BAD_REQUEST, "too many requests at once")
         if self.reading is not None and self.parser is not None:
             self.reading.method = self.parser.get_method().decode("latin-1")
             self.reading.keep_alive = self.parser.should_keep_alive()
