--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -94,6 +94,8 @@
     """Messages of before the start that the module has not been told of yet."""
     unanswered: set[str]
     """Taken on, and not yet kept as the level promises."""
+    withdrawing: set[str]
+    """Of these, those whose client left: until their sync is over nobody may hand the same id in."""
     events: list[i.Event]
     recent: OrderedDict[str, None]
     counts: Counter[str]
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -66,7 +66,8 @@
         self.derive(s)
         self.force = InForce(digest({**config.raw, "durability": level(config)}), "start", time.time())
         self.hosts, self.numbers, self.names, self.numbered, self.destinations = {}, {}, {}, 0, set()
-        self.arriving, self.backlog, self.unanswered, self.events = {}, {}, set(), []
+        self.arriving, self.backlog, self.events = {}, {}, []
+        self.unanswered, self.withdrawing = set(), set()
         self.scheduled = False
         self.round_us = 0
         self.frozen = self.closed = False
@@ -193,6 +194,7 @@
             else:
                 self.take_back(handed, door)
         self.unanswered.difference_update(arriving)
+        self.withdrawing.difference_update(arriving)
         for step in calls:
             if isinstance(step, i.CloseIdle):
                 self.pool.close_idle(step.target)
@@ -215,8 +217,10 @@
         kept, those that a restart must not make again. Their slots come free after a while, or a disk that
         fails would have them tried without a pause."""
         kept: list[Item] = []
-        # A wait may have been told while the record was synced.
-        waits = self.config.power and self.clock() < self.pool.waits.get(call.place, 0)
+        # A wait may have been told while the record was synced, or the process may have come to its freeze:
+        # then it is left, as never sent, to the one after it.
+        waits = self.frozen or (
+            self.config.power and self.clock() < self.pool.waits.get(call.place, 0))
         for item in call.items:
             m = self.store.messages.get(item.id)
             if m is not None and not waits and (ok or self.harmless(m)):
--- a/lemonshunt/net/taking.py
+++ b/lemonshunt/net/taking.py
@@ -18,11 +18,12 @@
         if self.predecessor.given:
             self.predecessor.hand_in(handed, door)
             return
+        open_yet = handed.id in self.unanswered or handed.id in self.withdrawing
         ours = handed.id in self.store.messages or handed.id in self.recent
-        if ours and handed.id not in self.unanswered:
+        if ours and not open_yet:
             door.answer(HTTPStatus.ACCEPTED)  # it is ours already, or was: it must not be delivered twice
             return
-        if handed.id in self.arriving or handed.id in self.unanswered:
+        if handed.id in self.arriving or open_yet:
             self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=AWAY_S)
             return
@@ -60,7 +61,14 @@
         """The client has gone before its answer: it may hand the message in elsewhere, so it is not ours."""
         if self.arriving.pop(name, None) is not None:
             self.post(i.Withdrawn(name))
-        self.unanswered.discard(name)
+        if name in self.unanswered:
+            # Its record may be in the file, and waits to be synced: a process killed now must not find it.
+            self.unanswered.discard(name)
+            self.withdrawing.add(name)
+            if name in self.store.messages:
+                self.store.over(name)
+                self.store.flush()
+                self.post(i.Withdrawn(name))
 
     def take_back(self, handed: Handed, door: Asker) -> None:
         """Its client has gone before the answer, or it could not be kept: it was never taken on."""
