Read the configuration again for a SIGHUP that came before there was an engine

Change: the signal is noted, and read again once there is an engine. Result: test_sighup_before_the_journal_is_free_is_read_once_it_is red without it, green with it.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -15,7 +15,9 @@
 from lemonshunt.net.handover import Lock, claim
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, asked: list[bool] | None = None) -> None:
+    """`asked` gets a SIGHUP that comes while there is no engine to read the configuration again."""
+    asked = [] if asked is None else asked
     admin = Admin()
     if config.admin is not None:
         await admin.listen(config.admin)
@@ -24,6 +26,7 @@
     before: Engine | None = None
     again = True
     while again:
+        loop.add_signal_handler(signal.SIGHUP, asked.append, True)
         successor = await claim(lock, config.state)
         admin.operated = engine = Engine(config, lock, successor)
         if before is not None:
@@ -31,6 +34,9 @@
         loop.add_signal_handler(signal.SIGTERM, engine.stop)
         loop.add_signal_handler(signal.SIGINT, engine.stop)
         loop.add_signal_handler(signal.SIGHUP, engine.reload)
+        if asked:
+            asked.clear()
+            engine.reload()
         gc.freeze()  # what is made at the start stays: it need not be looked through again and again
         again = await engine.run()
         config, before = engine.config, engine
@@ -38,7 +44,8 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before there is an engine, it must not end the process
+    asked: list[bool] = []  # a SIGHUP before there is an engine must neither end the process nor be lost
+    signal.signal(signal.SIGHUP, lambda *_: asked.append(True))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
@@ -54,7 +61,7 @@
             print("lemonshunt: log_format 'json' needs structlog (requirements.txt)", file=sys.stderr)
             return 2
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, asked))
     except (OSError, Unusable) as error:
         print(f"lemonshunt: cannot serve: {error}", file=sys.stderr)
         return 1
