Let nothing of replaced settings bind: aims by name, paces and shares of other fleets, purses

Cause: soonest cached by class name, so that a message under new settings was refused by the aim of an open one of the same name; pace and shares of 200 forwarders bound the few that were left; a purse outlived its allowance; idle connections were never trusted again once their time was unknown; and a told wait was forgotten where routes were parted or joined, at SIGHUP and at a hand-over. Change: retuned and remember keep what a target told and let go of what was worked out by other settings; soonest caches by aim. The two names that asking for the list no longer uses are gone.

--- a/lemonshunt/choice/books.py
+++ b/lemonshunt/choice/books.py
@@ -20,7 +20,6 @@
 SHARE_ROOM = 3.0  # over the number of forwarders: so many times more where few tell each more of the limit
 IDLE_LEAST_US = 200_000  # a connection without use for longer counts as idle
 WIRE_US = 50_000  # what the protocol grants each limit on sockets: a repeat may be on its way for so long
-ASK_AGAIN_US = 500_000  # first pause before asking for the list again; doubles up to eight times this
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -45,7 +44,6 @@
     """Those that serve by the list and by the operators' word."""
     places: dict[tuple[int, int], Place] = field(default_factory=dict)
     detached: set[int] = field(default_factory=set)
-    ask_pause: int = ASK_AGAIN_US
     # The messages
     messages: dict[str, Message] = field(default_factory=dict)
     held: Held = field(default_factory=Held)
@@ -73,7 +71,7 @@
     """The destinations to look at."""
     came_back: list[Call] = field(default_factory=list)
     round_calls: dict[int, Call] = field(default_factory=dict)
-    usual: dict[tuple[int, str], float] = field(default_factory=dict)
+    usual: dict[tuple[int, int], float] = field(default_factory=dict)
     """What `soonest` worked out; holds until the next event or send."""
 
     def __post_init__(self) -> None:
@@ -132,10 +130,11 @@
         usable = self.usable(m)
         if usable is not self.by_destination.get(m.destination):
             return min((self.expected(t.place, m.cls) for t in usable), default=0.0)
-        known = self.usual.get((m.destination, m.cls.name))
+        whose = (m.destination, m.cls.aim_us)  # two classes of one name may be open, one of before a SIGHUP
+        known = self.usual.get(whose)
         if known is None:
             known = min((self.expected(t.place, m.cls) for t in usable), default=0.0)
-            self.usual[(m.destination, m.cls.name)] = known
+            self.usual[whose] = known
         return known
 
     def drop_at(self, m: Message) -> int:
--- a/lemonshunt/choice/memory.py
+++ b/lemonshunt/choice/memory.py
@@ -50,6 +50,12 @@
     for destination, number, known in told.get("places", []):
         if (destination, number) in b.places:
             learn(b.places[destination, number], known, PLACE_KEPT)
+            b.places[destination, number].shares = min(
+                b.places[destination, number].shares, float(b.s.balancers))
+        else:  # routes stand apart now, or no longer: a wait that was told binds whatever it may be of
+            for whose, place in b.places.items():
+                if whose[0] == destination and -1 in (number, whose[1]):
+                    place.wait_until = max(place.wait_until, known.get("wait_until", 0))
     for name, known in told.get("messages", []):
         if name in b.messages:
             learn(b.messages[name], known, MESSAGE_KEPT)
--- a/lemonshunt/choice/routes.py
+++ b/lemonshunt/choice/routes.py
@@ -5,6 +5,7 @@
 from lemonshunt import interface as i
 from lemonshunt.choice.books import Books
 from lemonshunt.choice.health import cold
+from lemonshunt.choice.limits import pace
 from lemonshunt.state import Target
 
 ASK_LEAST_US, ASK_MOST_US = 200_000, 400_000
@@ -73,14 +74,23 @@
 
 
 def retuned(b: Books, settings: i.Settings) -> None:
+    """Other settings hold. What was worked out by those before binds no more; what a target told does."""
+    old = b.s
     b.adopt(settings)
-    b.idle_us = min(b.idle_us, b.idle_top)
+    b.idle_us = min(b.idle_us, b.idle_top) if old.conn_idle_us else b.idle_top
+    if (settings.tenants, settings.balancers) != (old.tenants, old.balancers):
+        b.purses.clear()
     for t in b.targets.values():
         kind = b.kinds.get(t.kind, i.DestinationKind(t.kind))
         t.batch = kind.batch
         if t.apart is not kind.routes_apart:
             t.apart = kind.routes_apart
             t.place.out -= t.out
-            t.place = b.place(t.destination, t.id, t.apart)
-            t.place.out += t.out
+            place = b.place(t.destination, t.id, t.apart)
+            place.out += t.out
+            place.wait_until = max(place.wait_until, t.place.wait_until)
+            t.place = place
+        if (settings.balancers, settings.weights_told) != (old.balancers, old.weights_told):
+            t.place.shares = min(t.place.shares, float(settings.balancers))
+            t.place.pace_at = min(t.place.pace_at, b.now + int(pace(b, t)))
     b.looks.update(b.held.piles)
