Wait till its end for a keyed call that outlasts the window of its key

Cause: a keyed call was given up after six usual calls or its class's aim. Where the window is shorter than that there is no second call, so a message whose work was slow failed by the time-out alone.

Change: such a call is waited for like a once-only one, and shares no call with what is given up sooner.

--- a/lemonshunt/choice/order.py
+++ b/lemonshunt/choice/order.py
@@ -116,7 +116,8 @@
 
 
 def timeout(b: Books, m: Message, place: Place) -> int:
-    """How long an attempt may take. One that must not run twice is waited for till its end."""
+    """How long an attempt may take. One after which there is no other is waited for till its end: of a
+    once-only message, or one that outlasts the window in which its key is known."""
     left = m.due - b.now
-    patience = left if m.cls.effect is i.Effect.ONCE else TIMEOUT_CALLS * b.expected(place, m.cls)
-    return min(left, max(m.cls.aim_us, int(patience), RETRY_TIMES * m.waited))
+    patience = max(m.cls.aim_us, int(TIMEOUT_CALLS * b.expected(place, m.cls)), RETRY_TIMES * m.waited)
+    return left if b.now + patience >= b.repeat_by(m, b.now) else min(left, patience)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -278,8 +278,8 @@
     def send(self, a: i.Send, now: int, forming: dict[tuple[int, bool], Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
         """Journal an attempt and put it into a call: those of one round to one target travel together. A call
-        is given up as a whole, so once-only messages, which are waited for till their end, share none with
-        those that may be sent again sooner."""
+        is given up as a whole, so messages that are waited for till their end, as once-only ones are, share
+        none with those that may be sent again sooner."""
         m = self.store.messages.get(a.message)
         if m is None:  # only after a fault: the slot must come free again
             self.post(i.Ended(a.message, 0, a.target, i.Outcome.NOT_SENT, 0, closed=True))
@@ -298,11 +298,12 @@
         at_end = a.timeout_us >= m.due_us - now and not once and m.order_key is None
         until = now + min(a.timeout_us, m.due_us - now)
         item = Item(m.id, number, m.key, m.body, until, at_end, self.leave_by_us(m, cls))
-        call = forming.get((a.target, once))
+        waits = once or (at_end and cls is not None and cls.effect is i.Effect.KEYED)
+        call = forming.get((a.target, waits))
         most = self.batches.get(str(target.raw.get("class")), 1)
         if call is None or len(call.items) >= most or not fits(call.items, item):
             apart = str(target.raw.get("class")) in self.apart
             place = (m.destination, a.target if apart else -1)
-            call = forming[a.target, once] = Call(a.target, place, now, [])
+            call = forming[a.target, waits] = Call(a.target, place, now, [])
             calls.append(call)
         call.items.append(item)
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -208,6 +208,35 @@
     assert cancels == [i.Cancel("m", 0)] and least <= now <= most
 
 
+@pytest.mark.parametrize("window, whole", [(S, True), (60 * S, False)])
+def test_a_call_that_outlasts_its_window_is_waited_for_till_its_end(window: int, whole: bool) -> None:
+    """Given up after its aim of 2 s it could not be sent again, and would have failed by that alone."""
+    d = started(ONE, **short(window))
+    send = sends(d.handle(0, [ask("m", cls="keyed", due=20 * S)]))[0]
+    assert (send.timeout_us == 20 * S) is whole and send.timeout_us >= 2 * S
+
+
+def test_what_is_waited_for_till_its_end_shares_no_call_with_what_is_not(tmp_path: Path) -> None:
+    """A call is given up as a whole: the shorter patience would end them all."""
+    async def scene() -> None:
+        platform = Platform()
+        platform.port = 9
+        platform.host("s1", 9)
+        e = Engine(configured(tmp_path, platform, S))
+        e.batches["plain"] = 20
+        calls: list[i.CloseIdle | Call | i.Cancel] = []
+        forming: dict[tuple[int, bool], Call] = {}
+        for name, cls, wait in (("a", "status", 2 * S), ("b", "order", 50 * S), ("c", "order", 2 * S),
+                                ("d", "pay", 50 * S), ("e", "status", 50 * S)):
+            e.store.take(Taken(name, cls, 7, 50 * S, None, None, b""))
+            e.send(i.Send(name, 1, wait), 0, forming, calls)
+        made = [c for c in calls if isinstance(c, Call)]
+        assert [[x.id for x in c.items] for c in made] == [["a", "c", "e"], ["b", "d"]]
+        assert [x.id for c in made for x in c.items if x.at_end] == ["e", "b"]
+        e.store.close()
+    asyncio.run(scene())
+
+
 # On the wire
 
 
