Keep a key waiting for an end that the engine's own watch gave

Cause: the watch over messages past their time owes a notice and withdraws the message, but did not tell the module that this end is on its way: once a call still out for it had ended, the next of its key left before the notice was answered.

Measured: test_an_end_that_the_engine_gives_itself_holds_its_key_until_it_is_told, red without (`assert (not True) ... came('second')`).

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -173,6 +173,8 @@
             log.error("message %s was left without an end", m.id)
             self.figures.end(self.figures.faulted, m.class_name)
             self.store.owe(m.id, "failed", 0)
+            if m.order_key is not None:  # those behind it wait for that to be told
+                self.post(i.EndOwed(m.id, m.order_key))
             self.post(i.Withdrawn(m.id))
         asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
 
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -606,3 +606,32 @@
         assert m.attempts == 1 and not m.out and m.ran_at_us < 0
         e.store.let_go()
     asyncio.run(scene())
+
+
+def test_an_end_that_the_engine_gives_itself_holds_its_key_until_it_is_told(tmp_path: Path) -> None:
+    """Its watch ends what is past its time with no end. A late 200 came then, and the next of the key went
+    while the notice was still on its way."""
+    gate = asyncio.Event()
+
+    async def side(request: Request) -> Answer:
+        await gate.wait()
+        return Answer(200)
+
+    async def scene(site: Site) -> None:
+        site.sides[0].handler = side
+        site.platform.accepts = False
+        e = await site.start()
+        assert await site.hand_in("first", "turns", X_Session_Key="k") == 202
+        await site.until(lambda: site.came("first"))
+        e.store.messages["first"].due_us = 1  # as if its end had been forgotten
+        await site.until(lambda: "first" in e.store.owed)
+        assert await site.hand_in("second", "turns", 8, X_Session_Key="k") == 202
+        gate.set()
+        await site.until(lambda: not e.pool.out)
+        await site.passes("free")
+        assert not site.came("second")
+        await site.until(lambda: e.figures.ended == 2)  # the late 200 counts for nothing
+        site.platform.accepts = True
+        await site.until(lambda: site.came("second"))
+        assert site.told("first") == ["failed"]
+    play(scene, Site(tmp_path))
