--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -405,6 +405,28 @@
     play(scene)
 
 
+@pytest.mark.parametrize("how", ["time-out", "cancel"])
+def test_end_that_was_read_goes_before_giving_up(how: str, target: Target) -> None:
+    """An answer without a length is whole by it; the transport tells of it in the next turn."""
+    async def scene() -> None:
+        s = Scene(target)
+        call, side = await s.out("a", "b")
+        connection = s.only()
+        assert connection.transport is not None
+        side.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + BOTH)
+        await until(lambda: connection.reader.body == BOTH)
+        connection.transport.close()  # as it does itself when it reads an end
+        if how == "cancel":
+            s.pool.cancel("a", 0)
+        else:
+            call.items[0].until_us = call.items[1].until_us = 0
+            s.pool.timed_out(call)
+        await until(lambda: len(s.ends) == 2)
+        assert s.outcomes() == [Outcome.DELIVERED, Outcome.FULL]
+        s.done()
+    play(scene)
+
+
 # Two events in one turn
 
 
--- a/tests/test_crossing_idle.py
+++ b/tests/test_crossing_idle.py
@@ -62,6 +62,17 @@
     play(scene)
 
 
+@pytest.mark.parametrize("noise", [b"H", OK])
+def test_idle_connection_on_which_something_came_unasked_is_closed(noise: bytes, target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        (side,) = await s.rested()
+        side.sendall(noise)
+        await until(lambda: not s.pool.all)
+        assert not s.pool.idle.get(1) and ended(side, PATIENCE)
+    play(scene)
+
+
 @pytest.mark.parametrize("answer, end", [
     (OK, True), (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", False),
     (b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", False), (OK + b"H", False), (OK + OK, False)])
@@ -104,6 +115,19 @@
         s.pool.start(s.call("n"))
         assert s.outcomes() == [Outcome.NOT_SENT]
         assert s.pool.idle[1] == [s.only()] and s.only().idle_us == since
+        s.pool.leaves = None
+        s.pool.start(s.call("o"))
+        side = target.open[-1]
+        request_on(side)
+        side.sendall(OK)
+        await until(lambda: s.pool.idle.get(1))
+        assert s.only().idle_us == now  # a call that was answered does renew it
+        since = now
+        s.pool.leaves = lambda call: -1
+        now += 4_000_000
+        s.pool.start(s.call("p"))
+        assert s.outcomes() == [Outcome.NOT_SENT, Outcome.DELIVERED, Outcome.NOT_SENT]
+        assert s.only().idle_us == since
         now += 400_000
         s.pool.sweep()
         assert not s.pool.idle
@@ -241,6 +265,7 @@
             assert s.ends or meanwhile == "closed"
             kept = meanwhile in ("time-out", "cancel", "cut dials", "wait")
             assert len(s.pool.idle.get(1, [])) == kept
+            assert meanwhile != "closed" or up or not target.waits()  # called off before it asked
             if kept or up or target.waits():
                 side = target.accept()
                 assert not readable(side) if kept else ended(side, PATIENCE)
@@ -327,6 +352,26 @@
     play(scene)
 
 
+def test_call_held_at_the_last_gate_leaves_on_no_new_connection_after_the_close(target: Target) -> None:
+    async def scene() -> None:
+        s = Scene(target)
+        await s.rested()
+        asked: list[Call] = []
+
+        def leaves(call: Call) -> int:
+            asked.append(call)
+            return 10_000 if len(asked) == 1 else 0
+        s.pool.leaves = leaves
+        s.pool.start(s.call("m"))
+        s.pool.close()
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.NO_CONNECTION] and len(asked) == 1
+        await until(lambda: not s.pool.all)
+        assert not target.waits()
+        s.done()
+    play(scene)
+
+
 # What may leave only until a moment
 
 
