--- a/tests/test_crossing_handover.py
+++ b/tests/test_crossing_handover.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -13,8 +15,9 @@
 import pytest
 
 from lemonshunt import interface as i
+from lemonshunt.__main__ import serve
 from lemonshunt.net.client import Pool
-from lemonshunt.net.config import Address, Config, HostList, host
+from lemonshunt.net.config import Address, Config, HostList, host, load
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.handover import Predecessor, Successor
 from lemonshunt.net.link import Link
@@ -643,3 +646,74 @@
         assert new.task is not None and not await new.task
         assert not Store(folder, 3_000_000, write=False).messages  # delivered, and known to be
     play(scene, tmp_path)
+
+
+class Stub:
+    """Stands for the engine: what the program does with signals and the file around it."""
+
+    made: list[Stub]
+    ends: list[bool]
+
+    def __init__(self, config: Any, lock: Any, successor: Any) -> None:
+        self.config, self.heard = config, list[str]()
+        self.made.append(self)
+
+    def answer_for(self, before: Any) -> None:
+        pass
+
+    def answer_from_journal(self) -> None:
+        self.heard.append("answered")
+
+    def stop(self) -> None:
+        self.heard.append("stop")
+
+    def reload(self) -> None:
+        self.heard.append("reload")
+
+    async def run(self) -> bool:
+        return self.ends.pop(0)
+
+
+def stubbed(monkeypatch: pytest.MonkeyPatch, ends: list[bool], claims: Any) -> type[Stub]:
+    class One(Stub):
+        made: list[Stub] = []
+    One.ends = ends
+    monkeypatch.setattr("lemonshunt.__main__.Engine", One)
+    monkeypatch.setattr("lemonshunt.__main__.claim", claims)
+    return One
+
+
+def test_file_changed_while_the_new_process_waits_for_the_journal_is_what_it_serves_by(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGHUP went to the old process, after the new one had read its file: the settings were lost with it."""
+    path = tmp_path / "config.json"
+    told = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5",
+            "limits": {"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+            "known": {"seq": 1, "whole": True, "hosts": []}}
+    path.write_text(json.dumps({**told, "settings": SETTINGS}))
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    monkeypatch.setenv("LB_STATE", str(tmp_path))
+
+    async def claims(lock: Any, folder: Path) -> None:
+        path.write_text(json.dumps({**told, "settings": classes(fresh={})}))
+
+    one = stubbed(monkeypatch, [False], claims)
+    asyncio.run(serve(load()))
+    assert "fresh" in {c.name for c in one.made[0].config.settings.classes}
+
+
+def test_sigterm_while_a_process_waits_to_begin_again_ends_it(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was told to the engine that had ended, and the process served on until SIGKILL."""
+    waits: list[int] = []
+
+    async def claims(lock: Any, folder: Path) -> None:
+        waits.append(1)
+        if len(waits) == 2:
+            signal.raise_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+
+    one = stubbed(monkeypatch, [True, False], claims)
+    asyncio.run(serve(Config("n", Address("127.0.0.1", 1), Address("127.0.0.1", 2), tmp_path, 1, 192, 256,
+                             3_000_000, HostList(1, True, ()), settings(SETTINGS), ("x0", "x1"))))
+    assert len(one.made) == 1 and one.made[0].heard == ["answered"]
