Heed signals between two engines; end an upgrade's calls first; serve before attaching

Cause: SIGTERM between two engines went to the dead one; SIGHUP to the old process, after the new one had read its file, was lost; SIGTERM at both let the new process end without waiting for what the old one had out; an operators' call made during the hold was answered 503, as the new process attached before it served. Change: serve heeds SIGTERM and notes SIGHUP while there is no engine, and reads the file once more once it may begin; stop_step waits for remote calls too; serving is set before attach.

--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -7,39 +7,66 @@
 import logging
 import signal
 import sys
+from dataclasses import replace
 
 from lemonshunt.journal.recovery import Unusable
 from lemonshunt.net.admin import Admin
-from lemonshunt.net.config import Config, ConfigError, load
+from lemonshunt.net.config import Config, ConfigError, load, replacement
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.handover import Lock, claim
+from lemonshunt.net.reconfigure import FIXED
+
+log = logging.getLogger("lemonshunt")
 
 
 async def serve(config: Config, asked: list[bool] | None = None) -> None:
     """`asked` gets a SIGHUP that comes while there is no engine to read the configuration again."""
-    asked = [] if asked is None else asked
+    sighups: list[bool] = [] if asked is None else asked
     admin = Admin()
     if config.admin is not None:
         await admin.listen(config.admin)
     lock = Lock(config.state)
     loop = asyncio.get_running_loop()
+    engine: Engine | None = None
     before: Engine | None = None
+    leaving = asyncio.Event()
+    """SIGTERM came while no engine was there to heed it: nothing is held here."""
+
+    def stop() -> None:
+        leaving.set() if engine is None else engine.stop()
+
+    def reload() -> None:
+        sighups.append(True) if engine is None else engine.reload()
+
     again = True
     while again:
-        loop.add_signal_handler(signal.SIGHUP, asked.append, True)
-        successor = await claim(lock, config.state)
+        claiming = asyncio.create_task(claim(lock, config.state))
+        for number, heed in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, reload)):
+            loop.add_signal_handler(number, heed)
+        end = asyncio.create_task(leaving.wait())
+        await asyncio.wait({claiming, end}, return_when=asyncio.FIRST_COMPLETED)
+        end.cancel()
+        if leaving.is_set():
+            claiming.cancel()
+            if before is not None:
+                before.answer_from_journal()
+            break
+        successor = claiming.result()
+        try:  # the file may have changed, with a SIGHUP to this process or to the one that served till now
+            new = replacement(config)
+            config = replace(new, known=config.known, seed=config.seed,
+                             **{f: getattr(config, f) for f in FIXED})
+        except ConfigError as error:
+            log.error("the configuration as first read is kept: %s", error)
         admin.operated = engine = Engine(config, lock, successor)
         if before is not None:
             engine.answer_for(before)
-        loop.add_signal_handler(signal.SIGTERM, engine.stop)
-        loop.add_signal_handler(signal.SIGINT, engine.stop)
-        loop.add_signal_handler(signal.SIGHUP, engine.reload)
-        if asked:
-            asked.clear()
+        if sighups:
+            sighups.clear()
             engine.reload()
         gc.freeze()  # what is made at the start stays: it need not be looked through again and again
         again = await engine.run()
-        config, before = engine.config, engine
+        config, before, engine = engine.config, engine, None
     admin.close()
 
 
--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -104,11 +104,11 @@
         await self.settled()
         self.notices.kick()
         await self.server.listen(where.host, where.port, self.config.inherited)
+        self.serving = True  # the journal is ours: operators' calls passed on by the process before count
         if self.successor is not None:
             self.successor.attach(self)
         if self.lock is not None:
             await self.predecessor.listen(self.config.state)
-        self.serving = True
         log.info("ready")
         self.tick(time.monotonic())
         self.recall_more()
--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -47,7 +47,8 @@
             # process after this one must take as run. Unsent, it is tried there.
             self.pool.cut_dials()
         nothing = not self.store.messages and not self.store.owed and not self.arriving
-        if nothing or passed >= EXIT_S or (self.frozen and not self.pool.out and not self.store.owed):
+        if nothing or passed >= EXIT_S or (
+                self.frozen and not self.pool.out and not self.remote and not self.store.owed):
             log.info("stopped: %d messages and %d owed ends stay in the journal",
                      len(self.store.messages), len(self.store.owed))
             # From this moment on: what comes before `run` goes on would be taken in and never decided on.
