Hold three tests to the stricter terms, and one to the close it now wraps

Need: three tests told what the new terms forbid or replace. The test of a dial at the exit wraps Server.close, which has an argument now. Change: tests only; none asserts less.

--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -564,10 +564,10 @@
         monkeypatch.setattr(loop, "create_connection", held)
         ended = e.server.close
 
-        async def close() -> None:  # the last thing that a process does
+        async def close(patience_s: float) -> None:  # the last thing that a process does
             gate.set()
             await asyncio.sleep(0.05)  # for the dial to come up, if it may: nothing is asserted on it
-            await ended()
+            await ended(patience_s)
 
         monkeypatch.setattr(e.server, "close", close)
         assert await site.hand_in("m", "pay", 8) == 202
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -255,7 +255,10 @@
         now += 50 * MS
         actions = d.handle(now, [i.TimerDue("look")])
     d.handle(now, [end(sends(actions)[0], OK)])
-    assert d.targets[1].back_at == (now + 5001 * MS) // 2
+    # Half way back to the last failure is too far for a ramp that all keep to: no further than half the
+    # span in which too many calls bring it down.
+    assert (now + 5001 * MS) // 2 < now - d.s.fall_us // 2
+    assert d.targets[1].back_at == now - d.s.fall_us // 2
 
 
 def test_endpoints_that_share_a_limit_are_held_to_have_come_back_together() -> None:
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -255,6 +255,7 @@
         peer = await target(platform, late, kind=kind_of(folder))
         node = await node_of(folder, state, platform)
         assert (await node.hand_in("m", cls["name"], left=most(cls)))[0] == 202
-        assert (await platform.notice("m"))["state"] == "returned"
+        # Once-only by then: handed in again it would run twice, so its client is not told to come again.
+        assert (await platform.notice("m"))["state"] == "failed"
         assert len(peer.requests) == 1
     play(scene, tmp_path)
