--- a/lemonshunt/choice/health.py
+++ b/lemonshunt/choice/health.py
@@ -18,7 +18,7 @@
 SPREAD = 0.5  # each turn is that much longer or shorter, by chance: forwarders must not meet again and again
 ROUGH = 1.5  # a weight may be up to half too high (WIRE, weight_source)
 UNTOLD_CALLS = 1.0  # the least budget, in calls, where nothing is told: under it one call may be too much
-JOIN_PART = 4  # such a call weighs at most that part of our even share of what is borne
+JOIN_PART = 2  # such a call weighs at most that part of our even share: two may meet in fall_us by SPREAD
 ITEM_WEIGHT = 0.25  # of a call is "a little weight" (WIRE, rule 4): what each further message of it counts
 
 
