Wait for a lease to be out by the service's own word, not by another member's

Cause: the test of the list service's leases renewed a job's lease as soon as its holder had gone from the members; on a busy machine the job was granted so much later that it still stood, and the renewal was a yes (assert 200 == 409, in three of five whole runs under load). Change: it waits until the lease itself is told to be out, and asserts that the refusal says lost as well.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -254,8 +254,14 @@
             assert status == 200 and told["token"] == two
         status, lost = beat("f1", one)
         assert status == 409 and lost["error"] == "lost"
+        for _ in range(200):  # granted after f1 joined, by however much: it is out by the service's own word
+            status, told = _ask(write, "/v1/leases/job")
+            if status == 404 or told["left_ms"] == 0:
+                break
+            time.sleep(0.02)
+        assert status == 404 or told["left_ms"] == 0, told
         status, lost = _ask(fleet, "/v1/leases/job/renew", json.dumps({"token": job}).encode())
-        assert status == 409
+        assert status == 409 and lost["error"] == "lost", lost
         job = grown(_until(lambda: acquire("f2"), 200)["token"])
         assert _ask(write, "/v1/leases")[1]["leases"][0]["token"] == job
     finally:
