Draw the first turn of a target that operators put back after an outage

Cause: routes.attached set every forwarder's next call one whole turn later: put back on all at once, a cold endpoint got all their calls in step. Result: test_targets_put_back_on_all_forwarders_at_once_are_not_called_in_step red without it (assert 1 > 30).

--- a/lemonshunt/choice/routes.py
+++ b/lemonshunt/choice/routes.py
@@ -68,7 +68,8 @@
     else:
         t.outage_at = t.back_at = -1
     b.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
-    t.failing, t.idle_at, t.spread = 0.0, -1, 1.0
+    t.failing, t.idle_at = 0.0, -1
+    t.spread = b.random.random() if cold(b, t) else 1.0  # it comes back to all forwarders at once
     if t.apart:
         t.place.window, t.place.mean, t.place.mean_at, t.place.rest = 1.0, 0.0, -1, 0
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -195,3 +195,13 @@
         now += 100 * MS
     d.handle(now + MS, [end(again[0], OK, attempt=1, took=MS)])
     assert all(d.cold(t) and not d.avoids(t.id) for t in d.targets.values())
+
+
+def test_targets_put_back_on_all_forwarders_at_once_are_not_called_in_step() -> None:
+    first = []
+    for seed in range(40):
+        d = dispatcher(seed, balancers=40)
+        d.handle(0, [i.OutageRecalled(1, 0), i.Detached(1)])
+        d.handle(S, [i.Attached(1)])
+        first.append(d.targets[1].spread)
+    assert len(set(first)) > 30 and 0 <= min(first) and max(first) <= 1
