End a shared call for all with the first of its messages to run out of time

Not traced; the only way left by which what is booked as delivered was seen to count for nobody is a shared call that stays out past one of its messages: 200 ms of it were still allowed, counted from a deadline that a request read late puts late. Change: none are. The call's time is that of its first message to end, X-Time-Left says so, and the whole is given up then. Item.at_end and the 200 ms are gone. Tests: the one that asserted that such a call goes on is replaced by one that asserts its end for all three messages; the case 'at end' of another is the same as 'time-out' now.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -21,10 +21,6 @@
 MOST_WAITS = 1000
 SPOILT_LOG_US = 5 * SECOND
 HELD_US = 50_000  # how long the last gate holds a call at most, rather than send it back undone
-AFTER_END_US = 200_000
-"""How long a shared call stays out after the first of its messages ended by its own time. The platform holds
-that one to be over 300 ms after its time (PROTOCOL, the rules on sockets), and what comes for a call of it
-from then on counts for none of the call's messages: the loop's own lateness has to fit in between."""
 WHOLE_S = 0.5  # an answer that has begun and is not whole after this is spoilt
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EADDRINUSE)
 """Why a connection may fail to come up that is no fault of the target's."""
@@ -172,30 +168,16 @@
             call.timer.cancel()
             call.timer = None
         if call.open:
-            patience = [item.until_us for item in call.open.values() if not item.at_end]
-            call.until_us = min(patience) if patience else max(item.until_us for item in call.open.values())
-            ends = [item.until_us for item in call.open.values() if item.at_end]
-            if not call.over_us and ends:  # known from the start, so that `X-Time-Left` tells it
-                call.over_us = min(ends) + AFTER_END_US
-            if call.over_us:
-                call.until_us = min(call.until_us, call.over_us)
-            first = min(call.until_us, *(item.until_us for item in call.open.values()))
-            delay = max(0, first - self.clock()) / SECOND
+            # The first of its messages to run out of time ends it for all: what comes for the others while it
+            # is still out for one whose end was told counts for nobody.
+            call.until_us = min(item.until_us for item in call.open.values())
+            delay = max(0, call.until_us - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
     def timed_out(self, call: Call, looked: bool = False) -> None:
         if not looked and self.unread(call, lambda: self.timed_out(call, True)):
             return
-        now = self.clock()
-        late = [item for item in call.open.values() if item.until_us <= now]
-        over = 0 < call.over_us <= now
-        if len(late) < len(call.open) and all(item.at_end for item in late) and not over:
-            for item in late:
-                sent = call.connection is not None and call.written
-                self.tell(call, item, Result(Outcome.TIMED_OUT if sent else Outcome.NOT_SENT))
-            self.arm(call)
-        else:
-            self.give_up(call, Outcome.TIMED_OUT, True)
+        self.give_up(call, Outcome.TIMED_OUT, True)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -33,8 +33,6 @@
     key: str | None
     body: bytes
     until_us: int
-    at_end: bool = False
-    """Its own time ends then, and it goes nowhere else: the others of its call can wait on."""
     leave_by_us: int = 0
     """When it may have run before: after this its receivers may have forgotten its key. 0: at any time."""
 
@@ -54,8 +52,6 @@
     batched: bool = False
     rendered: int = 0
     """Messages that its bytes hold."""
-    over_us: int = 0
-    """When it is given up though some of its messages could wait on; 0: not known yet."""
     begun: bool = False
     """Some of its answer has come."""
     open: dict[str, Item] = field(default_factory=dict)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -295,10 +295,10 @@
         self.store.attempt(m, number, now, name)
         cls = self.store.class_of(m)
         once = cls is not None and cls.effect is i.Effect.ONCE
-        at_end = a.timeout_us >= m.due_us - now and not once and m.order_key is None
         until = now + min(a.timeout_us, m.due_us - now)
-        item = Item(m.id, number, m.key, m.body, until, at_end, self.leave_by_us(m, cls))
-        waits = once or (at_end and cls is not None and cls.effect is i.Effect.KEYED)
+        item = Item(m.id, number, m.key, m.body, until, self.leave_by_us(m, cls))
+        waits = once or (a.timeout_us >= m.due_us - now and m.order_key is None
+                         and cls is not None and cls.effect is i.Effect.KEYED)
         call = forming.get((a.target, waits))
         most = self.batches.get(str(target.raw.get("class")), 1)
         if call is None or len(call.items) >= most or not fits(call.items, item):
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -380,7 +380,7 @@
     play(scene)
 
 
-@pytest.mark.parametrize("how", ["time-out", "at end", "cancel", "cut short"])
+@pytest.mark.parametrize("how", ["time-out", "cancel", "cut short"])
 def test_shared_answer_that_lies_unread_goes_before_giving_up(how: str, target: Target) -> None:
     async def scene() -> None:
         s = Scene(target)
@@ -397,7 +397,7 @@
         elif how == "cut short":
             s.pool.cut_short(call)
         else:
-            call.items[0].until_us, call.items[0].at_end = 0, how == "at end"
+            call.items[0].until_us = 0
             s.pool.timed_out(call)
         await until(lambda: len(s.ends) == 2)
         assert {e.message: e.outcome for e in s.ends} == {"a": Outcome.DELIVERED, "b": Outcome.FULL}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -233,8 +233,9 @@
     asyncio.run(scene())
 
 
-def test_message_whose_own_time_ends_does_not_cut_the_call_it_shares() -> None:
-    """A batch used to be given up with the first of its messages that ran out of time, and went out again."""
+def test_shared_call_ends_for_all_with_the_first_of_its_messages_to_run_out_of_time() -> None:
+    """It used to stay out for the others. An endpoint that hung may answer when the platform holds the first
+    to be over: what it said of the others counted here, and for nobody else."""
     async def scene() -> None:
         ends: list[i.Ended] = []
         peer = await Peer(hang).start()
@@ -242,36 +243,15 @@
         p.serving({1: Address("127.0.0.1", peer.port)})
         now = Clock()()
         p.start(Call(1, (7, -1), now, [Item("long", 0, None, b"", now + 10**9),
-                                       Item("short", 0, None, b"", now + 300_000, at_end=True)]))
-        while not ends:
-            await asyncio.sleep(0.005)
-        assert [e.message for e in ends] == ["short"] and p.out == 1
-        p.cancel("long", 0)
-        assert [e.message for e in ends] == ["short", "long"] and p.out == 0
-        p.close()
-    asyncio.run(scene())
-
-
-def test_shared_call_is_not_out_once_the_platform_holds_one_of_its_messages_to_be_over() -> None:
-    """That is 300 ms after its time. An endpoint that hung may answer just then: what it says of
-    the others counted for the forwarder, and for nobody else."""
-    async def scene() -> None:
-        ends: list[i.Ended] = []
-        peer = await Peer(hang).start()
-        p = pool(ends)
-        p.serving({1: Address("127.0.0.1", peer.port)})
-        now = Clock()()
-        last = now + 300_000
-        p.start(Call(1, (7, -1), now, [Item("long", 0, None, b"", now + 10**9),
-                                       Item("short", 0, None, b"", last, at_end=True),
-                                       Item("later", 0, None, b"", last + 10**7, at_end=True)]))
+                                       Item("short", 0, None, b"", now + 300_000),
+                                       Item("later", 0, None, b"", now + 10**7)]))
         request = (await peer.got(1))[0]
-        assert float(request.headers["x-time-left"]) <= 0.5
+        assert float(request.headers["x-time-left"]) <= 0.3
         async with asyncio.timeout(10):
-            while len(ends) < 3:
+            while not ends:
                 await asyncio.sleep(0.005)
         assert [(e.message, e.outcome) for e in ends] == [
-            ("short", i.Outcome.TIMED_OUT), ("long", i.Outcome.TIMED_OUT), ("later", i.Outcome.TIMED_OUT)]
+            (name, i.Outcome.TIMED_OUT) for name in ("long", "short", "later")]
         assert p.out == 0 and not p.calls
         while p.all:
             await asyncio.sleep(0.005)
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -232,7 +232,7 @@
             e.send(i.Send(name, 1, wait), 0, forming, calls)
         made = [c for c in calls if isinstance(c, Call)]
         assert [[x.id for x in c.items] for c in made] == [["a", "c", "e"], ["b", "d"]]
-        assert [x.id for c in made for x in c.items if x.at_end] == ["e", "b"]
+        assert [min(x.until_us for x in c.items) for c in made] == [2 * S, 50 * S]
         e.store.close()
     asyncio.run(scene())
 
