Look for unread bytes in one place, and give a timed-out call up by the one way there is

Found on reading the change again: the poll of a socket stood in Connection and again in ClientConnection; Pool.timed_out looked for unread bytes as give_up does itself, now that it has no case of its own; go_on filtered the same items twice; the comment on IDLE_US had lost the line it follows. Change: net/http.unread serves both; timed_out calls give_up; one list; the constants in order. Behaviour is as before, no test is touched.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -107,9 +107,10 @@
         """What was told since the call was decided binds it, too, on whichever connection it came here; and
         so does the time that this took."""
         now = self.clock()
-        if any(0 < item.leave_by_us <= now for item in call.open.values()):
-            for item in [x for x in call.open.values() if 0 < x.leave_by_us <= now]:
-                self.tell(call, item, Result(Outcome.NOT_SENT))
+        late = [item for item in call.open.values() if 0 < item.leave_by_us <= now]
+        for item in late:
+            self.tell(call, item, Result(Outcome.NOT_SENT))
+        if late:
             self.arm(call)
         if self.where.get(call.target) != connection.where:
             # Drained while the connection was coming up: what was queued for it must not leave any more.
@@ -174,10 +175,8 @@
             delay = max(0, call.until_us - self.clock()) / SECOND
             call.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.timed_out, call)
 
-    def timed_out(self, call: Call, looked: bool = False) -> None:
-        if not looked and self.unread(call, lambda: self.timed_out(call, True)):
-            return
-        self.give_up(call, Outcome.TIMED_OUT, True)
+    def timed_out(self, call: Call) -> None:
+        self.give_up(call, Outcome.TIMED_OUT)
 
     def cancel(self, message: str, attempt: int) -> None:
         call = self.calls.get((message, attempt))
--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -13,7 +12,7 @@
 
 import httptools
 
-from lemonshunt.net.http import MOST_BODY, MOST_HEAD
+from lemonshunt.net.http import MOST_BODY, MOST_HEAD, unread
 
 MOST_WAITING = 8  # requests read ahead on one connection before reading stops
 MOST_AHEAD = 64  # and in one piece at most: clients send one request at a time
@@ -252,9 +251,7 @@
     def unread(self) -> bool:
         """Whether the socket holds what the loop has not read yet: it came before the end, and goes first."""
         assert self.transport is not None
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return unread(self.transport)
 
     def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
--- a/lemonshunt/net/connection.py
+++ b/lemonshunt/net/connection.py
@@ -9,7 +9,6 @@
 import asyncio
 import base64
 import json
-import select
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -19,7 +18,7 @@
 from lemonshunt import interface as i
 from lemonshunt.interface import Outcome
 from lemonshunt.net.config import Address
-from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader
+from lemonshunt.net.http import MOST_BODY, BadAnswer, ResponseReader, unread
 
 STALE_US = 30_000  # a kept connection that breaks so soon under its call was stale
 
@@ -125,9 +124,7 @@
         """Whether something lies at its socket that the loop has not read: bytes, an end, a reset."""
         if self.transport is None or self.transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return unread(self.transport)
 
     def start(self, call: Call, data: bytes) -> None:
         assert self.transport is not None
--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
+import select
 from collections.abc import Iterable
 
 import httptools
@@ -150,3 +152,10 @@
     if method != "GET":
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def unread(transport: asyncio.Transport) -> bool:
+    """Whether its socket holds something that the loop has not read yet: bytes, an end, a reset."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -23,8 +23,8 @@
 STALLED_US = 2_000_000  # a request that stands half read for longer is answered 408; the first on a ...
 FIRST_US = 300_000  # ... connection so long after connecting, if it has stood for this: clients wait 0.4 s
 SILENT_US = 2_000_000  # a connection on which nothing was ever asked is closed after this, and never sooner
-UNASKED_US = 400_000  # clients send at once, and wait for the answer so long
 IDLE_US = 10_000_000  # as is one on which nothing has been asked for so long
+UNASKED_US = 400_000  # clients send at once, and wait for the answer so long
 SWEEP_S = 0.2
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
