--- a/lemonshunt/registry/__main__.py
+++ b/lemonshunt/registry/__main__.py
@@ -75,6 +75,8 @@
                      help="file of budgets, TOML or JSON, read at the start and at SIGHUP; with --fleet")
     ask.add_argument("--reserves-known", action="store_true",
                      help="no process acts on a reserve that is not known here: a first start, no lost state")
+    ask.add_argument("--plan-shards", action="store_true",
+                     help="make a new shard map when members come and go; with --fleet")
     ask.add_argument(
         "--new", action="store_true",
         help="begin a history where the folder holds none: the first start, or a state that is lost for good",
@@ -112,7 +114,7 @@
         await service.begin()
     parts = None
     if args.fleet:
-        parts = await lead(service, terms, args.lease_ms * 1_000, args.mark, budgets, False,
+        parts = await lead(service, terms, args.lease_ms * 1_000, args.mark, budgets, args.plan_shards,
                            reserves_known=args.reserves_known)
     (host, port), (write_host, write_port) = args.listen, args.write
     ports = [await service.listen(host, port, False)]
@@ -143,8 +145,8 @@
 def main(argv: list[str] | None = None) -> int:
     ask = parser()
     args = ask.parse_args(argv)
-    if not args.fleet and (args.budgets or args.reserves_known):
-        ask.error("--budgets and --reserves-known need --fleet")
+    if not args.fleet and (args.budgets or args.plan_shards or args.reserves_known):
+        ask.error("--budgets, --reserves-known and --plan-shards need --fleet")
     logs()
     try:
         return asyncio.run(serve(args))
--- a/lemonshunt/registry/fleet.py
+++ b/lemonshunt/registry/fleet.py
@@ -232,12 +232,10 @@
         due = (self.roster.next_us(), *(rider.next_us() for rider in self.riders.values()))
         return min((at for at in due if at is not None), default=None)
 
-    def _ends(self) -> bool:
+    def _ends(self) -> Rows:
         ends: Rows = [(LEASE, record) for record in self.roster.tick(self.house.now_us())]
         self._show()
-        if ends:
-            self.rounds.add(ends, bounded=False)
-        return bool(ends)
+        return ends
 
     def _make(self) -> Rows:
         rows: Rows = []
--- a/lemonshunt/registry/maps.py
+++ b/lemonshunt/registry/maps.py
@@ -174,6 +174,8 @@
             self._due_us = due_us if self._due_us is None else min(self._due_us, due_us)
         if wanted is None:
             return []
+        if not owners:  # where nobody has keys yet, who joined just now need not wait either
+            wanted = {member.name: 1.0 for member in members}
         try:
             made = plan.plan(wanted, self.moves.map, most_ranges=MOST_RANGES).map
         except BadPlan as error:
--- a/lemonshunt/registry/planner.py
+++ b/lemonshunt/registry/planner.py
@@ -12,6 +12,7 @@
 from lemonshunt.registry.writer import Full
 
 LEASE = "shard-planner"
+RESTS = 10  # leases that pass before it is asked for again after it was taken away
 log = logging.getLogger("lemonshunt.registry")
 
 
@@ -24,6 +25,7 @@
         self.fleet: Fleet | None = None
         self.holder = ""
         self.token: Token | None = None
+        self.rest_us = 0
         self._task: asyncio.Task[None] | None = None
 
     def leading(self, now_us: int) -> bool:
@@ -48,7 +50,10 @@
             await asyncio.sleep(self.ttl_us / 3e6)
 
     async def renew(self, fleet: Fleet) -> None:
-        """Acquire the lease where it can be had, or renew it."""
+        """Acquire the lease where it can be had, or renew it. Where it was taken away, whoever did that has
+        time to take it before it is asked for again."""
+        if fleet.house.now_us() < self.rest_us:
+            return
         try:
             made = await fleet.settle(
                 lambda now_us: fleet.table.acquire(now_us, LEASE, self.holder, self.ttl_us)
@@ -59,6 +64,6 @@
                     fleet.plans.soon()
                 self.token = made.token
         except Refused:
-            self.token = None
+            self.token, self.rest_us = None, fleet.house.now_us() + RESTS * self.ttl_us
         except (OSError, Full):
             pass  # counted and logged where it failed
--- a/lemonshunt/registry/plans.py
+++ b/lemonshunt/registry/plans.py
@@ -14,15 +14,16 @@
 
 
 class Plans:
-    """Lives on the running loop. `ends` queues the ends of leases and says whether there were any, `make`
-    makes the rows of a plan, `write` writes them, `next_us` says when something is due next."""
+    """Lives on the running loop. `ends` makes the rows of leases that are out, `make` those of a plan,
+    `write` writes them, `next_us` says when something is due next."""
 
-    def __init__(self, now_us: Callable[[], int], ends: Callable[[], bool], make: Callable[[], Rows],
+    def __init__(self, now_us: Callable[[], int], ends: Callable[[], Rows], make: Callable[[], Rows],
                  write: Callable[[Rows], asyncio.Future[Any]], next_us: Callable[[], int | None]) -> None:
         self.now_us, self.ends, self.make, self.write, self.next_us = now_us, ends, make, write, next_us
         self.stopped = False
         self.flying: asyncio.Future[Any] | None = None
         """A plan that is being written."""
+        self._ending: asyncio.Future[Any] | None = None  # ends of leases that are being written
         self._alarm: asyncio.TimerHandle | None = None
         self._soon: asyncio.TimerHandle | None = None
         self._next: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -66,11 +67,11 @@
         self._soon = None
         if self.stopped:
             return
-        if self.ends():
-            self.soon()
-            return
-        if self.flying is not None:
-            return  # asked again when it has landed
+        if self._ending is None and (ends := self.ends()):
+            self._ending = self.write(ends)
+            self._ending.add_done_callback(self._ended)
+        if self._ending is not None or self.flying is not None:
+            return  # asked again when that has landed
         mine, self._next = self._next, asyncio.get_running_loop().create_future()
         rows = self.make()
         if rows:
@@ -79,13 +80,24 @@
             _over(mine)
             self.alarmed()
 
+    def _ended(self, done: asyncio.Future[Any]) -> None:
+        self._ending = None
+        if self._again(done):  # no plan comes before it can be written
+            waited, self._next = self._next, asyncio.get_running_loop().create_future()
+            _over(waited)
+
     def _landed(self, done: asyncio.Future[Any]) -> None:
         self.flying = None
+        self._again(done)
+
+    def _again(self, done: asyncio.Future[Any]) -> bool:
+        """Plan again for what came meanwhile; whether what was written has failed."""
         failed = done.cancelled() or done.exception() is not None
         if failed and self._soon is not None:  # beats must not make it try faster
             self._soon.cancel()
             self._soon = None
-        self.soon(RETRY_S if failed else PLAN_S)  # for what came meanwhile
+        self.soon(RETRY_S if failed else PLAN_S)
+        return failed
 
 
 def _over(waited: asyncio.Future[None]) -> None:
