Raise the listener's backlog, the waits kept and the notices of one post to 1,024 and more

Cause: with some hundreds of endpoints and hundreds of clients that come again in one moment the bounds of 512, 1,000 and 500 are met. A post was bounded by its lines alone, and 500 ends with ids of 128 characters made 86,500 bytes, where 64 KiB are taken. Change: a post is filled by bytes, with at most 1,024 ends; the reasons stand beside the figures.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Call", "Connection", "Item", "Pool", "fits", "wait_us"]
 SECOND = 1_000_000
-MOST_WAITS = 1000
+MOST_WAITS = 2048  # kept before those that are over are looked for: some hundred endpoints tell one each
 SPOILT_LOG_US = 5 * SECOND
 HELD_US = 50_000  # how long the last gate holds a call at most, rather than send it back undone
 WHOLE_S = 0.5  # an answer that has begun and is not whole after this is spoilt
--- a/lemonshunt/net/discovery.py
+++ b/lemonshunt/net/discovery.py
@@ -12,7 +12,7 @@
 
 from lemonshunt.choice.routes import ASK_MOST_US
 from lemonshunt.net.config import Address, HostList, host_list
-from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader, request
+from lemonshunt.net.http import MOST_BODY, MOST_LIST, BadAnswer, ResponseReader, request
 from lemonshunt.net.store import Owed
 
 NO_VERSION = -1  # of a list that is not known yet; discovery counts from 0
@@ -30,7 +30,7 @@
 NOTICE_LEAST_S = 0.02  # between two posts that fail, so that no failure makes us spin
 NOTICE_FIRST_S, NOTICE_TOP_S = 0.1, 0.2  # before the next post at most; doubles by each one that fails
 NOTICE_ANSWER_S, NOTICE_PATIENCE_S = 0.1, 0.8  # for a 204, which comes at once, and where that is slow
-MOST_NOTICES = 500  # lines in one post: the body stays within 64 KiB
+MOST_NOTICES = 1024  # lines in one post: a restart may owe as many ends as it held messages
 log = logging.getLogger("lemonshunt.discovery")
 
 
@@ -326,10 +326,11 @@
         while True:
             await self.wanted.wait()
             self.wanted.clear()
-            while owed := list(self.book.owed_ends().items())[:MOST_NOTICES]:
+            while owed := self.book.owed_ends():
+                names, body = post_body(owed)
                 try:
                     answer = await self.client.ask(
-                        "POST", "/v1/notices", self.patience_s(silent), b"".join(map(line, owed)))
+                        "POST", "/v1/notices", self.patience_s(silent), body)
                     if answer.status != 204:
                         raise BadAnswer(f"status {answer.status}")
                 except (OSError, BadAnswer) as error:
@@ -343,11 +344,23 @@
                         failures += 1
                     continue
                 failures = silent = 0
-                self.book.acknowledged([name for name, _ in owed])
+                self.book.acknowledged(names)
 
 
-def line(owed: tuple[str, Owed]) -> bytes:
-    name, end = owed
+def post_body(owed: dict[str, Owed]) -> tuple[list[str], bytes]:
+    """The first of the ends that are owed, as many as one body holds: their ids and the body."""
+    names: list[str] = []
+    body = bytearray()
+    for name, end in owed.items():
+        told = line(name, end)
+        if len(names) == MOST_NOTICES or len(body) + len(told) > MOST_BODY:
+            break
+        names.append(name)
+        body += told
+    return names, bytes(body)
+
+
+def line(name: str, end: Owed) -> bytes:
     told: dict[str, str | int] = {"id": name, "state": end.state}
     if end.after_ms > 0:
         told["after_ms"] = end.after_ms
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -29,6 +29,7 @@
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
 BIND_TRIES, BIND_PAUSE_S = 100, 0.05
+BACKLOG = 1024  # connections that wait in the system: hundreds of clients may come again in one moment
 ACCEPTS = 4  # connections taken at a time, ...
 ACCEPT_TURNS = 4  # ... and the turns of the loop from its accept until the descriptor that makes room is free
 TIME_LEFT = re.compile(r"-?[0-9]{1,9}(\.[0-9]{0,9})?", re.ASCII)  # float() reads more: nan, 1e9, 1_0
@@ -130,7 +131,7 @@
         # asyncio takes as many connections at a time as its backlog says, before it tells of the first: with
         # a long one a flood would use up the descriptors before anything could make room.
         self.listener = await loop.create_server(lambda: ClientConnection(self), sock=sock, backlog=ACCEPTS)
-        sock.listen(512)
+        sock.listen(BACKLOG)
         loop.call_later(SWEEP_S, self.sweep)
 
     def joined(self, connection: ClientConnection) -> None:
