Take an answer for a delivery only once its first line is whole

Cause: 13 bytes, 'HTTP/1.1 200 ', were taken for a first line. A message is delivered when a first line with 200 has been written; half a line may arrive in the very moment in which a call is given up, and an endpoint that breaks off inside it has not said it. The other way round costs little: a notice for a message that is over does no harm, and one that may be repeated is answered as delivered once more. Change: the reader gathers the line to its end, within the bound of a head. Two rows of tests/test_crossing_calls.py asked for the opposite ('HTTP/1.1 200 ' and, behind a 103, 'HTTP/1.1 200 O' as deliveries); they ask for SPOILT now, with four rows more around them. Result: red without it: 'assert [DELIVERED] == [TIMED_OUT]' at 13 to 16 bytes of the line.

--- a/lemonshunt/net/http.py
+++ b/lemonshunt/net/http.py
@@ -26,8 +26,9 @@
 
 
 class ResponseReader:
-    """Collects one answer after the other. `first_line` is the status as the first line says it, from when so
-    much has come, though the rest may yet turn out spoilt; `status` counts once the answer is `complete`."""
+    """Collects one answer after the other. `first_line` is the status as the first line says it, from when
+    that line is whole, though the rest may yet turn out spoilt: one that breaks off inside it promises
+    nothing. `status` counts once the answer is `complete`."""
 
     def __init__(self, most: int = MOST_BODY) -> None:
         self.most = most
@@ -90,6 +91,11 @@
                     return b""
                 raise BadAnswer("no status line")
             if not match[1].startswith(b"1"):
+                if b"\n" not in data:
+                    if len(data) > MOST_HEAD:
+                        raise BadAnswer("the first line is too long")
+                    self.start = data
+                    return b""
                 self.first_line = int(match[1])
                 return data
             end = data.find(b"\r\n\r\n")
--- a/tests/test_crossing_calls.py
+++ b/tests/test_crossing_calls.py
@@ -485,7 +485,10 @@
     (b"H", Outcome.SPOILT, Outcome.SPOILT),
     (b"HTTP/1.1 200", Outcome.SPOILT, Outcome.SPOILT),  # it may have gone on as 2001
     (b"HTTP/1.1 2001 O\r\n", Outcome.SPOILT, Outcome.SPOILT),
-    (b"HTTP/1.1 200 ", Outcome.DELIVERED, Outcome.SPOILT),
+    (b"HTTP/1.1 200 ", Outcome.SPOILT, Outcome.SPOILT),  # its first line is not whole
+    (b"HTTP/1.1 200 OK", Outcome.SPOILT, Outcome.SPOILT),
+    (b"HTTP/1.1 200 OK\r", Outcome.SPOILT, Outcome.SPOILT),
+    (b"HTTP/1.1 200 OK\r\n", Outcome.DELIVERED, Outcome.SPOILT),
     (b"HTTP/1.1 200 OK\r\nContent-Le", Outcome.DELIVERED, Outcome.SPOILT),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n" + BOTH[:30], Outcome.DELIVERED, Outcome.SPOILT),
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"%x\r\n%b\r\n" % (len(BOTH), BOTH),
@@ -495,7 +498,8 @@
     (b"HTTP/1.1 429 No\r\nContent-Length: 5\r\n\r\nab", Outcome.SPOILT, Outcome.SPOILT),
     (b"HTTP/1.1 503 No\r\nX-Over-Slots: 1\r\nContent-Length: 5\r\n\r\n", Outcome.SPOILT, Outcome.SPOILT),
     (b"HTTP/1.1 103 Early\r\n\r\n", Outcome.SPOILT, Outcome.SPOILT),
-    (b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 O", Outcome.DELIVERED, Outcome.SPOILT),
+    (b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 O", Outcome.SPOILT, Outcome.SPOILT),
+    (b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\n", Outcome.DELIVERED, Outcome.SPOILT),
 ]
 
 
--- /dev/null
+++ b/tests/test_suspect_answers.py
@@ -0,0 +1,44 @@
+"""What an endpoint writes in the very moment in which its call is given up, forced over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lemonshunt.interface import Outcome
+from lemonshunt.net import client
+from tests.test_crossing_calls import Scene, Target, arrived, play, target, until
+
+__all__ = ["target"]
+FIRST_LINE = b"HTTP/1.1 200 OK\r\n"
+
+
+@pytest.mark.parametrize("length", [*range(1, len(FIRST_LINE) + 1)])
+def test_part_of_a_first_line_that_crosses_the_time_out_is_no_delivery(length: int, target: Target) -> None:
+    """Booked as a delivery, its message was never ended, and its endpoint had not said so yet."""
+    async def scene() -> None:
+        s = Scene(target)
+        call, side = await s.out()
+        assert call.connection is not None
+        side.sendall(FIRST_LINE[:length])
+        arrived(call.connection)
+        s.pool.timed_out(call)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert s.outcomes() == [Outcome.DELIVERED if length == len(FIRST_LINE) else Outcome.TIMED_OUT]
+        s.done()
+    play(scene)
+
+
+def test_first_line_without_end_is_bounded(target: Target, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "WHOLE_S", 3600)  # by its size, and not by the time it takes
+
+    async def scene() -> None:
+        s = Scene(target)
+        _, side = await s.out()
+        side.sendall(b"HTTP/1.1 200 " + b"x" * 20_000)
+        await until(lambda: s.ends)
+        assert s.outcomes() == [Outcome.SPOILT]
+        s.done()
+    play(scene)
