Book what the freeze's own calls came back with before the process ends

Cause: the freeze decides once more, and sets the mark that no round is made any more behind it. A call of that round that cannot leave (a wait told meanwhile, a target that left the list, no descriptor) comes back at once: its event was neither in a round nor booked.

Change: Stopping.freeze books what the round left; the step is a function of its own.

--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from lemonshunt import interface as i
 from lemonshunt.net.client_connection import CLOSE_S
 from lemonshunt.net.desk import Desk, log
 
@@ -40,12 +41,7 @@
                 asyncio.get_running_loop().call_later(STEP_S, self.stop_step)
             return
         if passed >= FREEZE_S and not self.frozen:
-            if self.arriving or self.events:
-                self.round()
-            self.frozen = True
-            # What has not left by now never does: else a call could go out just before the end, which the
-            # process after this one must take as run. Unsent, it is tried there.
-            self.pool.cut_dials()
+            self.freeze()
         nothing = not self.store.messages and not self.store.owed and not self.arriving
         if nothing or passed >= EXIT_S or (
                 self.frozen and not self.pool.out and not self.remote and not self.store.owed):
@@ -57,6 +53,19 @@
             return
         asyncio.get_running_loop().call_later(STEP_S, self.stop_step)
 
+    def freeze(self) -> None:
+        """Decide for the last time. What has not left by now never does: else a call could go out just before
+        the end, which the process after this one must take as run. Unsent, it is tried there."""
+        if self.arriving or self.events:
+            self.round()
+        self.frozen = True
+        # Calls of that round that could not leave have come back, and no round reads it any more.
+        for event in self.events:
+            if isinstance(event, i.Ended):
+                self.book(event)
+        self.store.flush()
+        self.pool.cut_dials()
+
     def patience_s(self) -> float:
         """How long clients may take to let go at the end."""
         left = self.leaving_s + EXIT_S + CLOSE_S - time.monotonic()
