Make room by no connection on which a request lies unread

Cause: where connections are more than there is room for, the one that has rested longest was aborted without a look at its socket. A request that came in that moment was reset with no answer, and its message is lost (its last byte had been written). Resting connections that are let go or swept were looked at, this way was not. Change: the first by rank that has nothing unread goes; those that were refused still go first, whatever they say. Result: tests/test_suspect_clients.py, red without it: 'ConnectionResetError: [Errno 104] Connection reset by peer'.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -250,8 +250,7 @@
 
     def unread(self) -> bool:
         """Whether the socket holds what the loop has not read yet: it came before the end, and goes first."""
-        assert self.transport is not None
-        return unread(self.transport)
+        return self.transport is not None and not self.transport.is_closing() and unread(self.transport)
 
     def open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -139,7 +139,9 @@
         self.connections.add(connection)
         if len(self.connections) > self.most:
             spare = [c for c in self.connections if c is not connection and c.busy is None and not c.waiting]
-            first = min(spare, key=self.rank(spare), default=connection)
+            # What lies unread may be a request, and a close over it resets the connection.
+            first = next((c for c in sorted(spare, key=self.rank(spare)) if c.broken or not c.unread()),
+                         connection)
             first.abort()
             # Its descriptor is closed in the loop's next turn: counted till then, it would be picked again
             # by each other that joins in this one, and none of them would make room.
--- a/tests/test_suspect_stopping.py
+++ b/tests/test_suspect_stopping.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 
 from lemonshunt.net import stopping
