Book the answers that lie unread when the process ends before all is cut

Cause: from the last step of a stop the connections to targets were closed in the same turn, without a look at their sockets. A delivery that lay there was cut with its connection: the next process sent its message again, and ended a once-only one as failed. Change: a few turns of the loop pass, in which outcomes are booked as in the freeze. A test beside it holds what a shared call costs that is out at the end, with nothing or half of its answer there: none of its messages; it was right before.

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 from lemonshunt import interface as i
+from lemonshunt.net.client_connection import TURNS
 from lemonshunt.net.config import HostList, host
 from lemonshunt.net.desk import AWAY_S, TICK_S, Desk, log
 from lemonshunt.net.handover import Line
@@ -120,6 +121,8 @@
         if self.fleet is not None and not self.predecessor.given:  # else all is the new process's
             self.fleet.pause()
         await self.settled(SETTLE_S)  # calls that wait for this are still booked as never sent
+        for _ in range(TURNS):  # answers that lie unread are deliveries, and are booked before all is cut
+            await asyncio.sleep(0)
         self.closed = True
         self.pool.close()
         if self.again:  # who still waits for an answer is told by the engine that comes after
--- a/tests/test_suspect_stopping.py
+++ b/tests/test_suspect_stopping.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import json
+import os
 from pathlib import Path
 
+import pytest
+
 from lemonshunt.net import stopping
-from tests.sockets import OK, Platform, always, message
+from tests.sockets import OK, Answer, Peer, Platform, always, hang, message
 from tests.test_crossing_stopping import Caller, Running, engine_play, target
 
 
@@ -38,3 +42,74 @@
         assert peer.requests[1].headers["x-correlation-id"] == "m" and not platform.notices
         await again.end()
     engine_play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("cls", ["status", "pay"])
+def test_answer_that_lies_unread_at_the_end_is_booked(tmp_path: Path, cls: str) -> None:
+    """Cut with its connection, a delivery was sent again by the next process, or ended there as failed."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        run = await Running(folder, platform).ready()
+        client = Caller(run.port)
+        client.say(message("m", cls, Idempotency_Key=None))
+        assert (await client.answer())[0] == 202
+        await peer.got(1)
+        client.socket.close()
+        answer_at_once(peer)
+        await run.end()  # in the turn in which the answer came
+        assert not run.engine.store.messages and not run.engine.store.owed
+        again = await Running(folder, platform).ready()
+        assert not again.engine.store.messages and not platform.notices and len(peer.requests) == 1
+        await again.end()
+    engine_play(scene, tmp_path)
+
+
+@pytest.mark.parametrize("cls", ["status", "pay"])
+@pytest.mark.parametrize("half", [True, False])
+def test_shared_call_that_is_out_at_the_end_costs_none_of_its_messages(
+        tmp_path: Path, cls: str, half: bool) -> None:
+    """With nothing or half of its answer there. The next process sends them again, or ends each."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await Peer(hang).start()
+        platform.host("s1", peer.port, kind="lots")
+        run = await Running(folder, platform).ready()
+        client = Caller(run.port)
+        run.engine.schedule = lambda: None  # type: ignore[method-assign]
+        clients = [Caller(run.port) for _ in range(3)]
+        for number, client in enumerate(clients):
+            client.say(message(f"m{number}", cls, Idempotency_Key=None))
+        await run.until(lambda: len(run.engine.arriving) == 3)
+        run.engine.round()
+        for client in clients:
+            assert (await client.answer())[0] == 202
+            client.socket.close()
+        await peer.got(1)
+        assert peer.requests[0].path == "/hook/batch"
+        if half:
+            whole = json.dumps([{"id": f"m{n}", "state": "accepted"} for n in range(3)]).encode()
+            peer.requests[0].writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Backend-Load: x0=0.4"
+                                          b",x1=25\r\n\r\n%b" % (len(whole), whole[:-1]))
+            await run.until(lambda: any(c.begun for c in run.engine.pool.calls.values()))
+        run.told_to_stop(stopping.EXIT_S)
+        run.engine.stop_step()
+        await run.end()
+        peer.handler = always(Answer(500))
+        again = await Running(folder, platform).ready()
+        names = {f"m{n}" for n in range(3)}
+        if cls == "pay":
+            for name in names:
+                assert (await platform.notice(name))["state"] == "failed"
+            assert len(peer.requests) == 1
+        else:
+            await peer.until(lambda: names <= {
+                e["id"] for r in peer.requests[1:] if r.path == "/hook/batch" for e in json.loads(r.body)}
+                | {r.headers.get("x-correlation-id", "") for r in peer.requests[1:]})
+        await again.end()
+    engine_play(scene, tmp_path)
+
+
+def answer_at_once(peer: Peer) -> None:
+    """Past the peer's own buffers: the bytes lie at the forwarder's socket when this returns."""
+    sock = peer.requests[0].writer.get_extra_info("socket")
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    assert os.write(sock.fileno(), data) == len(data)
