Count a message's time from when its request came, also where the loop reads it late

Cause: the time left counted from the turn in which the request was read. A loop that stood still for 150 ms (a burst of clients, a long list, other processes on its core) read it so much later, was as late again at its end, and the 300 ms for the notice were gone. Change: the listener measures 20 times a second how late the loop is, and takes that off. Where the loop is in time nothing is taken off.

--- a/lemonshunt/net/client_connection.py
+++ b/lemonshunt/net/client_connection.py
@@ -132,7 +132,7 @@
     # Called by the parser
 
     def on_message_begin(self) -> None:
-        self.reading, self.in_head = Request(self.used_us), True
+        self.reading, self.in_head = Request(self.server.came_us()), True
 
     def on_url(self, url: bytes) -> None:
         if self.reading is not None:
@@ -294,6 +294,9 @@
         self.listener: asyncio.Server | None = None
         self.accepting: set[asyncio.Task[None]] = set()
 
+    def came_us(self) -> int:
+        raise NotImplementedError
+
     def joined(self, connection: ClientConnection) -> None:
         raise NotImplementedError
 
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -26,6 +26,7 @@
 IDLE_US = 10_000_000  # as is one on which nothing has been asked for so long
 UNASKED_US = 400_000  # clients send at once, and wait for the answer so long
 SWEEP_S = 0.2
+BEAT_S = 0.05  # between two looks at how late the loop is: what it reads may have waited for so long
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
 BIND_TRIES, BIND_PAUSE_S = 100, 0.05
@@ -119,6 +120,8 @@
         super().__init__()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.ready = ready
+        self.beat_due_us, self.late_us = clock(), 0
+        self.beat_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
         loop = asyncio.get_running_loop()
@@ -133,6 +136,23 @@
         self.listener = await loop.create_server(lambda: ClientConnection(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         loop.call_later(SWEEP_S, self.sweep)
+        self.beat_due_us = self.clock()
+        self.beat()
+
+    def beat(self) -> None:
+        """Measure how late the loop is. It stands still while it works, or while others have its core."""
+        if self.closed:
+            return
+        now = self.clock()
+        self.late_us = max(0, now - self.beat_due_us)
+        self.beat_due_us = now + int(BEAT_S * 1_000_000)
+        self.beat_timer = asyncio.get_running_loop().call_later(BEAT_S, self.beat)
+
+    def came_us(self) -> int:
+        """When what is read now came, at the earliest: a client counts its time from then. The beat runs
+        behind what is read in its turn, and before the first bytes of what was accepted in it."""
+        now = self.clock()
+        return now - max(self.late_us, now - self.beat_due_us, 0)
 
     def joined(self, connection: ClientConnection) -> None:
         """Bound the sockets. Who waits for an answer stays; of the others the first by `rank` goes."""
