Read the ends that wait for their round before a message is held to be without one

Cause: where the loop stood still for 120 ms past a message's time, the watch for messages without an end could run in the turn that read its call's outcome, and before the round: it ended as failed a message that was delivered, or that its client was to hand in again. Change: Starting.end_overdue makes the round first where one is due. The margins of each way to an end are computed from the constants beside it: the loop may be 330 ms late for a held message, 290 ms for one whose call is out and 70 ms for one that the watch has to end. Result: tests/test_suspect_late_loop.py, red without it: 'assert 'failed' == 'returned''.

--- a/lemonshunt/net/starting.py
+++ b/lemonshunt/net/starting.py
@@ -17,7 +17,7 @@
 from lemonshunt.net.leaving import Leaving
 from lemonshunt.net.operators import Operating
 from lemonshunt.net.stopping import Stopping
-from lemonshunt.net.store import Rules
+from lemonshunt.net.store import Rules, Taken
 from lemonshunt.net.taking import Taking
 from lemonshunt.state import Target
 
@@ -171,15 +171,25 @@
         self.store.log.tend()
         if self.fleet is not None and not self.holding:
             self.fleet.tick()
+        self.end_overdue()
+        asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
+
+    def overdue(self) -> list[Taken]:
         old = 0 if self.frozen or self.holding else self.clock() - OVERDUE_US
-        for m in [m for m in self.store.messages.values() if m.due_us < old and m.id not in self.backlog]:
+        return [m for m in self.store.messages.values() if m.due_us < old and m.id not in self.backlog]
+
+    def end_overdue(self) -> None:
+        """End what the module has left without an end. Where the loop stood still, its end may be among the
+        events that came meanwhile: these go first."""
+        if self.events and self.overdue():
+            self.round()
+        for m in self.overdue():
             log.error("message %s was left without an end", m.id)
             self.figures.end(self.figures.faulted, m.class_name)
             self.store.owe(m.id, "failed", 0)
             if m.order_key is not None:  # those behind it wait for that to be told
                 self.post(i.EndOwed(m.id, m.order_key))
             self.post(i.Withdrawn(m.id))
-        asyncio.get_running_loop().call_later(TICK_S, self.tick, now + TICK_S)
 
     def sum_up(self, now: float) -> None:
         """One line now and then for who must tell from the log alone where messages stay."""
--- a/tests/test_suspect_late_loop.py
+++ b/tests/test_suspect_late_loop.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from http import HTTPStatus
+from pathlib import Path
 
 import pytest
 
+from lemonshunt import interface as i
+from lemonshunt.choice.books import LOOK_US
+from lemonshunt.net.desk import ROUND_US, TICK_S
 from lemonshunt.net.server import BEAT_S
-from tests.sockets import message
-from tests.test_crossing_stopping import Caller, Door, play
+from lemonshunt.net.starting import OVERDUE_US
+from tests.sockets import Platform, hang, message
+from tests.test_crossing_stopping import Caller, Door, Running, engine_play, play, target
 
 MS = 1_000
 S = 1_000_000
 BEAT_US = int(BEAT_S * S)
+OWED_US = 300 * MS  # after its time a message must have been delivered or ended (PROTOCOL)
 
 
 class HandClock:
@@ -78,3 +85,40 @@
     async def scene(door: Door) -> None:
         assert door.server.late_us < BEAT_US
     play(scene)
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.DELIVERED, i.Outcome.TIMED_OUT])
+def test_end_that_waits_for_its_round_goes_before_the_watch_for_overdue_messages(
+        tmp_path: Path, outcome: i.Outcome, caplog: pytest.LogCaptureFixture) -> None:
+    """The loop stood still past the message's time; its call's end is read, and its round comes next."""
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        run = await Running(folder, platform).ready()
+        engine = run.engine
+        client = Caller(run.port)
+        client.say(message("m", "status"))
+        assert (await client.answer())[0] == 202
+        await peer.got(1)
+        engine.schedule = lambda: None  # type: ignore[method-assign]
+        m = engine.store.messages["m"]
+        m.due_us = engine.dispatcher.messages["m"].due = engine.clock() - OVERDUE_US - S
+        engine.post(i.Ended("m", 0, engine.numbers["s1"], outcome, 5, closed=outcome is i.Outcome.DELIVERED))
+        engine.end_overdue()
+        assert "m" not in engine.store.messages
+        owed = engine.store.owed.get("m")
+        assert (owed and owed.state) == (None if outcome is i.Outcome.DELIVERED else "returned")
+        client.socket.close()
+        await run.end()
+    with caplog.at_level(logging.ERROR, "lemonshunt"):
+        engine_play(scene, tmp_path)
+    assert not [r for r in caplog.records if "without an end" in r.message]
+
+
+def test_each_end_leaves_room_for_a_loop_that_is_late() -> None:
+    """300 ms after its time a message must have its end. From the constants alone: a held one is given up
+    LOOK_US before its time at the latest, one whose call is out at its time, and one that both have left by
+    the watch; then its notice goes out in one round. So late may the loop be in all before that is missed."""
+    rounds = ROUND_US + 2 * MS  # the call's timer and a turn to read what lies there
+    assert OWED_US - (rounds - LOOK_US) >= 330 * MS
+    assert OWED_US - rounds >= 290 * MS
+    assert OWED_US - (OVERDUE_US + int(TICK_S * S) + rounds) >= 70 * MS
