--- a/lemonshunt/__main__.py
+++ b/lemonshunt/__main__.py
@@ -11,8 +11,9 @@
 
 from lemonshunt.journal.recovery import Unusable
 from lemonshunt.net.admin import Admin
-from lemonshunt.net.config import Config, ConfigError, load, replacement
+from lemonshunt.net.config import Config, load, replacement
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.faults import ConfigError
 from lemonshunt.net.handover import Lock, claim
 from lemonshunt.net.reconfigure import FIXED
 
--- a/lemonshunt/net/admin.py
+++ b/lemonshunt/net/admin.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from lemonshunt.net.config import Address
+from lemonshunt.net.address import Address
 from lemonshunt.net.server import bind
 
 MOST_CALLS = 16  # connections at a time
--- a/lemonshunt/net/config.py
+++ b/lemonshunt/net/config.py
@@ -11,6 +11,10 @@
 from typing import TYPE_CHECKING, Any
 
 from lemonshunt import interface as i
+from lemonshunt.net.address import Address as Address
+from lemonshunt.net.address import address
+from lemonshunt.net.faults import ConfigError as ConfigError
+from lemonshunt.net.faults import FleetFault as FleetFault
 from lemonshunt.wirehost import Malformed, entry, need, settings
 
 if TYPE_CHECKING:
@@ -22,27 +26,6 @@
 HEALTH = {"up": "SERVING", "draining": "DRAINING", "removed": "DELETED"}
 
 
-class ConfigError(Exception):
-    """The configuration is missing or cannot hold; the text is one line."""
-
-
-class FleetFault(ConfigError):
-    """All faults of a `fleet`: each with its path."""
-
-    def __init__(self, faults: list[tuple[str, str]]) -> None:
-        super().__init__(" ".join("; ".join(f"{path}: {text}" for path, text in faults).split()))
-        self.faults = faults
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
 @dataclass(frozen=True, slots=True)
 class Host:
     """One target as discovery lists it."""
@@ -96,13 +79,6 @@
     """As it was read, but for the list: what a file that replaces it must have too."""
 
 
-def address(text: Any) -> Address:
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Malformed(f"not an address: {text!r}")
-    return Address(host, int(port))
-
-
 def descriptor(text: str | None) -> int | None:
     if not text:
         return None
--- a/lemonshunt/net/fleet.py
+++ b/lemonshunt/net/fleet.py
@@ -13,16 +13,17 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
 import msgspec
 
 from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
 from lemonshunt.lease.holder import Ask, Holder
 from lemonshunt.lease.token import NEVER, Token
+from lemonshunt.net.config import Config
 from lemonshunt.net.connection import Call
-from lemonshunt.net.desk import Desk
 from lemonshunt.net.discovery import Client
 from lemonshunt.net.fleet_beat import Answer, Refusal, Told, body
 from lemonshunt.net.fleet_books import Books
@@ -30,6 +31,7 @@
 from lemonshunt.net.fleet_file import Keep, Records
 from lemonshunt.net.fleet_talk import Talk, now_us
 from lemonshunt.net.http import BadAnswer
+from lemonshunt.net.store import Store
 
 MOST_RETRY_MS = 60_000  # a longer "not now" is not to be believed: no lease is longer
 AGAIN_S = 1.0  # before a record that could not be written is tried again
@@ -38,15 +40,32 @@
 log = logging.getLogger("lemonshunt.fleet")
 
 
+class Forwarder(Protocol):
+    """What a member of a fleet needs of the forwarder that it is part of."""
+
+    config: Config
+    dispatcher: Dispatcher
+    store: Store
+
+    @property
+    def clock(self) -> Callable[[], int]:
+        """The module's clock, in microseconds."""
+        ...
+
+    def post(self, event: i.Event) -> None:
+        """Tell the module of an event in the next round."""
+        ...
+
+
 class Fleet:
     """`open` before the first round, `pause` and `resume` around a handover, `close` at the end."""
 
-    def __init__(self, config: FleetConfig, desk: Desk) -> None:
-        self.config, self.desk = config, desk
-        self.dial = str(config.listen or desk.config.listen)
+    def __init__(self, config: FleetConfig, forwarder: Forwarder) -> None:
+        self.config, self.forwarder = config, forwarder
+        self.dial = str(config.listen or forwarder.config.listen)
         self.random = random.Random(secrets.randbits(64))  # those that start as one must not act as one
         self.run = secrets.token_hex(8)
-        self.keep = Keep(desk.config.state, desk.config.power)
+        self.keep = Keep(forwarder.config.state, forwarder.config.power)
         self.shown, records = self.keep.read()
         self.books = Books(config.budgets, config.drift, records, now_us())
         self.holder = Holder(config.lease_us, config.drift, self.random.random)
@@ -99,7 +118,7 @@
         old, self.config = self.config, config
         self.holder.ttl_us = config.lease_us
         for destination in self.books.configure(config.budgets, now_us()):
-            self.desk.post(i.Shares(destination, 0, 0, 0, 0))
+            self.forwarder.post(i.Shares(destination, 0, 0, 0, 0))
         self.write(self.books.standing())
         self.tell()
         if config.service != old.service:
@@ -113,7 +132,8 @@
         """Each budget as it stands, and a line for what is not as it was."""
         now = now_us()
         for destination in sorted(self.books.accounts):
-            self.desk.post(self.books.event(destination, now, self.desk.clock() - now))
+            ahead_us = self.forwarder.clock() - now
+            self.forwarder.post(self.books.event(destination, now, ahead_us))
         self.note(now)
 
     def leaves(self, call: Call) -> int:
@@ -133,7 +153,7 @@
         if not self.books.kept and time.monotonic() - self.tried_s >= AGAIN_S:
             self.write(self.books.standing())
             self.tell()
-        piles = self.desk.dispatcher.held.piles
+        piles = self.forwarder.dispatcher.held.piles
         if not self.talk.patient and self.books.grown({d: len(pile) for d, pile in piles.items()}, now):
             self.talk.kicked.set()
         self.note(now)
@@ -141,10 +161,10 @@
     def waiting(self) -> dict[int, Counter[str]]:
         """Messages held unsent, by destination and by whose demand they are."""
         found: dict[int, Counter[str]] = {}
-        for destination, pile in self.desk.dispatcher.held.piles.items():
+        for destination, pile in self.forwarder.dispatcher.held.piles.items():
             parts = found[destination] = Counter()
             for m in pile.values():
-                taken = self.desk.store.messages.get(m.id)
+                taken = self.forwarder.store.messages.get(m.id)
                 parts[part(m.cls.name, taken.tenant if taken is not None else None)] += 1
         return found
 
--- a/lemonshunt/net/fleet_config.py
+++ b/lemonshunt/net/fleet_config.py
@@ -9,7 +9,8 @@
 import msgspec
 from msgspec import Meta, Struct, ValidationError, structs
 
-from lemonshunt.net.config import Address, FleetFault, address
+from lemonshunt.net.address import Address, address
+from lemonshunt.net.faults import FleetFault
 from lemonshunt.wirehost import Malformed
 
 MOST_BUDGETS = 1_000
--- a/lemonshunt/net/fleet_talk.py
+++ b/lemonshunt/net/fleet_talk.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from lemonshunt.lease.holder import Holder
-from lemonshunt.net.config import Address
+from lemonshunt.net.address import Address
 from lemonshunt.net.discovery import Client
 from lemonshunt.net.http import BadAnswer
 
--- a/lemonshunt/net/idle.py
+++ b/lemonshunt/net/idle.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from lemonshunt.net.config import Address
+from lemonshunt.net.address import Address
 from lemonshunt.net.connection import Connection
 
 SECOND = 1_000_000
--- a/lemonshunt/net/operators.py
+++ b/lemonshunt/net/operators.py
@@ -10,8 +10,9 @@
 
 from lemonshunt import interface as i
 from lemonshunt.net.admin import Answer
-from lemonshunt.net.config import Config, ConfigError, replacement
+from lemonshunt.net.config import Config, replacement
 from lemonshunt.net.desk import Desk, level, log
+from lemonshunt.net.faults import ConfigError
 from lemonshunt.net.reconfigure import FIXED, WRITTEN, InForce, digest, examine, joint
 from lemonshunt.net.store import Owed, Rules
 
--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from lemonshunt.net.config import OPTIONAL, Config, ConfigError, FleetFault, comparable, fleet, parse
+from lemonshunt.net.config import OPTIONAL, Config, comparable, fleet, parse
+from lemonshunt.net.faults import ConfigError, FleetFault
 
 if TYPE_CHECKING:
     from lemonshunt.net.fleet_config import FleetConfig
