Give each endpoint of a first large list one number, and remember 8,192 that left

A list's names were numbered before the list was taken in, so each looked like one that had left: past 400 of them the first were forgotten again within the same list, and numbered anew a moment later. The module had the first number, the engine the second: of a first list of 44,000 endpoints all but 401 could not be called. Names are forgotten only once a list is whole.

With the bound reached, each new name also looked through all older ones. An eighth of the bound is now forgotten in one pass.

Bounds, sized for 44,000 endpoints of which a tenth or more are replaced at once: 8,192 names (250 bytes each), 2,048 ids of messages that ended (200 bytes), 100,000 destinations heard of (100 bytes). Nothing is allocated ahead.

Red before: "{1: None} != {1: 'endpoint-.zone-0.example.internal'} ... Omitting 401 identical items". Result: tests/test_bounds.py and tests/test_net.py pass.

--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -30,9 +30,10 @@
 AWAY_S = "1"  # when to come again after a refusal at the door
 FULL_LOG_US = 10_000_000
 TICK_S = 0.1
-MOST_GONE = 400  # targets remembered by name that have left the list
-MOST_RECENT = 500  # messages remembered by id after their end
-MOST_DESTINATIONS = 4000
+MOST_GONE = 8_192  # targets remembered by name that have left a list of 44,000; 250 bytes each
+FORGET_STEP = MOST_GONE // 8  # forgotten at once, so that not each new name looks through all of them
+MOST_RECENT = 2_048  # messages remembered by id after their end; 200 bytes each
+MOST_DESTINATIONS = 100_000  # heard of, and still taken on for: 44,000 and those that left; 100 bytes each
 OWN = 24
 """Descriptors that the process holds beside clients, operators' calls and calls to targets: 3 standard ones;
 the loop's 3; the clients' listener, the platform's own of it, the operators'; the journal, its new file, its
@@ -220,7 +221,7 @@
     # Targets
 
     def entries(self, told: HostList) -> tuple[i.TargetEntry, ...]:
-        return tuple(h.entry(self.number(h.name)) for h in told.hosts)
+        return tuple(h.entry(self.numbered_as(h.name)) for h in told.hosts)
 
     def take_list(self, told: HostList) -> None:
         if told.whole:
@@ -234,19 +235,29 @@
             else:
                 self.hosts[h.name] = h
         self.point_pool()
+        self.forget_gone()
 
     def point_pool(self) -> None:
         """Who may be called: asked again before a call's first byte."""
-        self.pool.serving({self.number(h.name): h.dial for h in self.hosts.values()
+        self.pool.serving({self.numbered_as(h.name): h.dial for h in self.hosts.values()
                            if h.health == "up" and h.name not in self.store.detached})
 
     def number(self, name: str) -> int:
-        """The module's number for a target. Those long gone are forgotten, the oldest first."""
-        if len(self.numbers) > len(self.hosts) + MOST_GONE:
-            old = next((n for n in self.numbers
-                        if n not in self.hosts and n not in self.store.detached), None)
-            if old is not None:
-                del self.names[self.numbers.pop(old)]
+        """The module's number for a target that may be in no list. Those long gone are forgotten."""
+        self.forget_gone()
+        return self.numbered_as(name)
+
+    def forget_gone(self) -> None:
+        """Past MOST_GONE of them, the oldest names that are in no list. Not while a list is taken in: until
+        that is whole, each of its names looks like one that is gone."""
+        if len(self.numbers) <= len(self.hosts) + MOST_GONE:
+            return
+        gone = [n for n in self.numbers if n not in self.hosts and n not in self.store.detached]
+        for name in gone[:max(0, len(gone) - MOST_GONE + FORGET_STEP)]:
+            del self.names[self.numbers.pop(name)]
+
+    def numbered_as(self, name: str) -> int:
+        """The module's number for a target, a new one where it has none."""
         if name not in self.numbers:
             self.numbered += 1
             self.numbers[name] = self.numbered
