Raise each bound of a list to 1,024 or more, and hold all of them by one test

The fleet grows to 540 forwarders, 44,000 endpoints and 10,000 budgets; several lists were cut below that.

- A forwarder's file takes as many budgets as the service (10,000, one constant) and 10,000 peers.
- Demand is counted for 10,000 destinations, those with a budget first.
A beat never tells more than the service takes; where the parts' names pass 256 KiB, each need is told whole.
Parts that wait could make 65, one more than the service takes, and past 32 were left out; they count as one now.
- 8,192 members that are gone are told of (350 bytes each).
The one gone longest is found without sorting the others, and a loss of many no longer sorts the members for each.

tests/test_bounds.py collects the named bounds; each is a list's and 1,024 or more, or exempt for a reason that stands beside it.

Red before: "Expected `array` of length <= 1000", "1010 == 10000", "1000 >= 1024", "65 <= 64".

--- a/lemonshunt/budget/wants.py
+++ b/lemonshunt/budget/wants.py
@@ -38,8 +38,9 @@
             needs[part] = max(
                 sum(counts.get(part, 0) for at, counts in self.steps if end - STEPS < at <= end)
                 for end, _ in self.steps)
-        for part in sorted(waiting)[:MOST_PARTS]:
-            needs[part] = needs.get(part, 0) + waiting[part]
+        for part in sorted(waiting):
+            known = part if part in needs or len(needs) < MOST_PARTS else ""
+            needs[known] = needs.get(known, 0) + waiting[part]
         return {part: calls for part, calls in needs.items() if calls > 0}
 
     def _forget(self, step: int) -> None:
--- a/lemonshunt/journal/state.py
+++ b/lemonshunt/journal/state.py
@@ -29,7 +29,7 @@
 from lemonshunt import interface as i
 
 PER_MESSAGE = 400  # what a held message's further records may add to a compacted file
-MOST_LOST = 1000  # ids of lost messages that are named
+MOST_LOST = 10_000  # ids of lost messages that are named: about what 3 MB of journal name; 100 bytes each
 log = logging.getLogger("lemonshunt.store")
 
 
--- a/lemonshunt/member/roster.py
+++ b/lemonshunt/member/roster.py
@@ -15,7 +15,7 @@
 
 PREFIX = "member/"
 MOST_NAME = 180  # characters of a name and of a run
-MOST_GONE = 1_000  # members lost or left that are still told of
+MOST_GONE = 8_192  # members lost or left that are still told of, so a whole fleet; 350 bytes each
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +49,13 @@
             self.began_us = now_us
         self.last_us = now_us
 
+    def lose(self, name: str, now_us: int) -> None:
+        """Of those lost, the ones of the last whole lease stay, in their order."""
+        self.lost.pop(name, None)
+        self.lost[name] = now_us
+        while now_us - self.lost[oldest := next(iter(self.lost))] >= self.whole_us:
+            del self.lost[oldest]
+
     def until_us(self, now_us: int) -> int:
         """When it is over at the soonest; a whole lease from now where members do not renew."""
         if self.began_us is None or now_us - self.last_us > self.whole_us:
@@ -72,6 +79,9 @@
         self.epoch = self.version = self.floor = 0
         self.members: dict[str, Member] = {}
         self._renewed_us: dict[str, int] = {}
+        """Members in force, and when each last renewed."""
+        self._gone: dict[str, None] = {}
+        """Members lost or left, the one that went first before the others."""
         self._quiet = Quiet(surely_out_us(ttl_us, table.terms.drift))
         self._now_us = 0
 
@@ -143,7 +153,7 @@
 
     def in_force(self) -> list[Member]:
         """Alive and suspect, by name: among these, and only these, the fleet is divided."""
-        return [m for _, m in sorted(self.members.items()) if m.state in ("alive", "suspect")]
+        return [self.members[name] for name in sorted(self._renewed_us)]
 
     def owed(self, since: int | None, epoch: int | None) -> dict[str, Any]:
         """The answer to a reader who has version `since` of `epoch`: `{"epoch", "version", "whole",
@@ -151,7 +161,7 @@
         to a reader from another epoch, from ahead, or from before what is still told of."""
         whole = since is None or epoch != self.epoch or not self.floor <= since <= self.version
         found = (self.in_force() if whole or since is None else
-                 [m for _, m in sorted(self.members.items()) if m.version > since])
+                 sorted((m for m in self.members.values() if m.version > since), key=lambda m: m.name))
         return {"epoch": self.epoch, "version": self.version, "whole": whole,
                 "members": [m.told() for m in found]}
 
@@ -176,17 +186,19 @@
                 self._lost(name)
             del self._renewed_us[name]
             self._state(self.members[name], "left" if record["why"] == "released" else "lost")
+            self._gone[name] = None
             self._forget()
 
     # -- helpers ---------------------------------------------------------------------------------------
 
     def _lost(self, name: str) -> None:
         quiet, now_us = self._quiet, self._now_us
-        quiet.lost[name] = now_us
-        quiet.lost = {n: at for n, at in quiet.lost.items() if now_us - at < quiet.whole_us}
+        quiet.lose(name, now_us)
+        if quiet.began_us is None:  # many at once: those before this one have stopped it already
+            return
         # Those whose renewals are late already will be lost in moments: waiting for them would divide twice.
-        gone = {*quiet.lost, *(m.name for m in self.members.values() if m.state == "suspect")}
-        there = {*gone, *(m.name for m in self.in_force())}
+        gone = {*quiet.lost, *(n for n in self._renewed_us if self.members[n].state == "suspect")}
+        there = {*gone, *self._renewed_us}
         if len(gone) >= 2 and len(gone) > self.at_once * len(there):
             quiet.began_us = None
 
@@ -200,6 +212,7 @@
         name, note = lease.name[len(PREFIX):], lease.note
         self.version += 1
         self._renewed_us[name] = self._now_us
+        self._gone.pop(name, None)
         self.members[name] = Member(name, note["site"], note["dial"], lease.token, "alive", self.version)
 
     def _state(self, member: Member, state: str) -> None:
@@ -207,10 +220,11 @@
         self.members[member.name] = replace(member, state=state, version=self.version)
 
     def _forget(self) -> None:
-        gone = sorted((m.version, n) for n, m in self.members.items() if m.state in ("lost", "left"))
-        for version, name in gone[:max(len(gone) - MOST_GONE, 0)]:
-            del self.members[name]
-            self.floor = max(self.floor, version)
+        """The one that has been gone longest, past MOST_GONE of them: without a look at all the others."""
+        while len(self._gone) > MOST_GONE:
+            name = next(iter(self._gone))
+            del self._gone[name]
+            self.floor = max(self.floor, self.members.pop(name).version)
 
     def _is_now(self, name: str, token: Token) -> bool:
         return name in self._renewed_us and self.members[name].token == token
--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -30,10 +30,10 @@
 AWAY_S = "1"  # when to come again after a refusal at the door
 FULL_LOG_US = 10_000_000
 TICK_S = 0.1
-MOST_GONE = 8_192  # targets remembered by name that have left a list of 44,000; 250 bytes each
+MOST_GONE = 8_192  # targets remembered by name that have left a list of 44,000; 180 bytes each
 FORGET_STEP = MOST_GONE // 8  # forgotten at once, so that not each new name looks through all of them
-MOST_RECENT = 2_048  # messages remembered by id after their end; 200 bytes each
-MOST_DESTINATIONS = 100_000  # heard of, and still taken on for: 44,000 and those that left; 100 bytes each
+MOST_RECENT = 2_048  # messages remembered by id after their end; 100 bytes each
+MOST_DESTINATIONS = 100_000  # heard of, and still taken on for: 44,000 and those that left; 70 bytes each
 OWN = 24
 """Descriptors that the process holds beside clients, operators' calls and calls to targets: 3 standard ones;
 the loop's 3; the clients' listener, the platform's own of it, the operators'; the journal, its new file, its
--- a/lemonshunt/net/fleet_books.py
+++ b/lemonshunt/net/fleet_books.py
@@ -8,9 +8,11 @@
 import logging
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from itertools import islice
 from typing import Any
 
 from lemonshunt import interface as i
+from lemonshunt.budget.config import MOST_BUDGETS
 from lemonshunt.budget.purse import Purse
 from lemonshunt.budget.terms import Share, window
 from lemonshunt.budget.wants import Wants
@@ -21,8 +23,9 @@
 SLACK_US = 5_000  # where the service tells none
 SPAN_US = 1_000_000  # demand is counted by it where no budget is known
 GROWN = 1.25  # needs that grew by so much since they were told are told at once
-MOST_WANTED = 1_000  # destinations whose demand is counted
-MOST_SPENT = 4_096  # entries of all records together: the file stays small
+MOST_SPENT = 40_960  # entries of all records together, 50 bytes each: four for each of 10,000 budgets
+MOST_PART_BYTES = 256 * 1024  # of all parts' names in one beat: it stays within the service's 1 MiB
+ESCAPED = 12  # bytes in JSON of a character that is not ASCII, at most
 BARRED = 1 << 40  # calls; stands for those of a time that is not known
 log = logging.getLogger("lemonshunt.fleet")
 
@@ -167,7 +170,7 @@
         """One more call is wanted."""
         wants = self.wants.get(destination)
         if wants is None:
-            if len(self.wants) >= MOST_WANTED and destination not in self.accounts:
+            if len(self.wants) >= MOST_BUDGETS and destination not in self.accounts:
                 return
             account = self.accounts.get(destination)
             span_us = account.purse.share.span_us if account else 0
@@ -175,14 +178,16 @@
         wants.arrived(now_us, part)
 
     def needs(self, waiting: Mapping[int, Mapping[str, int]], now_us: int) -> dict[str, dict[str, int]]:
-        """For a beat; what is not wanted any more is forgotten."""
-        told: dict[str, dict[str, int]] = {}
-        for destination in sorted({*self.wants, *waiting}):
+        """For a beat, of as many destinations as the service takes: those with a budget here first. What is
+        not wanted any more is forgotten."""
+        found: dict[str, dict[str, int]] = {}
+        for destination in sorted({*self.wants, *waiting}, key=lambda d: (d not in self.accounts, d)):
             wants = self.wants.get(destination) or Wants(SPAN_US)
             if parts := wants.needs(now_us, waiting.get(destination, {})):
-                told[str(destination)] = parts
+                found[str(destination)] = parts
             elif destination not in self.accounts:
                 self.wants.pop(destination, None)
+        told = without_long_parts(dict(islice(found.items(), MOST_BUDGETS)))
         self.needs_told = {int(d): sum(parts.values()) for d, parts in told.items()}
         return told
 
@@ -249,6 +254,15 @@
         return found
 
 
+def without_long_parts(needs: dict[str, dict[str, int]]) -> dict[str, dict[str, int]]:
+    """Needs by destination and part. Where the parts' names would make a beat too large, each destination's
+    whole need stands under the part "" instead."""
+    size = sum(len(part) * (1 if part.isascii() else ESCAPED) for parts in needs.values() for part in parts)
+    if size <= MOST_PART_BYTES:
+        return needs
+    return {destination: {"": sum(parts.values())} for destination, parts in needs.items()}
+
+
 def gathered(spent: list[list[int]], most: int) -> list[list[int]]:
     """(first, latest, calls) in so many entries at most: calls of one count as made at its latest."""
     step = max(1, -(-len(spent) // most))
--- a/lemonshunt/net/fleet_config.py
+++ b/lemonshunt/net/fleet_config.py
@@ -3,18 +3,19 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct, ValidationError, structs
 
+from lemonshunt.budget.config import MOST_BUDGETS
 from lemonshunt.net.address import Address, address
 from lemonshunt.net.faults import FleetFault
 from lemonshunt.wirehost import Malformed
 
-MOST_BUDGETS = 1_000
-MOST_PEERS = 1_000
+MOST_PEERS = 10_000  # a fleet of 540 forwarders and room to grow; 150 bytes each
 FIXED = ("name", "site", "drift", "listen", "peers")
 """What only a start can change."""
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -76,28 +77,32 @@
         faults.append(("fleet.service", "not an address: ''"))
     peers = tuple((peer, _address(dial, f"fleet.peers.{peer}", faults))
                   for peer, dial in sorted(told.get("peers", {}).items()))
-    found: list[Reserve] = []
+    found: dict[int, Reserve] = {}
     for n, b in enumerate(budgets):
-        if len(b) < len(structs.fields(RawBudget)):
+        if len(b) < len(RawBudget.__struct_fields__):
             continue  # a part of it is at fault already
         where = f"fleet.budgets[{n}]"
-        if any(r.destination == b["destination"] for r in found):
+        if b["destination"] in found:
             faults.append((f"{where}.destination", f"{b['destination']} has a budget already"))
         if b["reserve"] * b["members"] > b["calls"]:
             faults.append((f"{where}.reserve", f"{b['reserve']} for each of {b['members']} members are "
                            f"{b['reserve'] * b['members']}, more than the whole of {b['calls']}"))
-        found.append(Reserve(b["destination"], b["reserve"], b["span_ms"] * 1000, b["calls"]))
+        found[b["destination"]] = Reserve(b["destination"], b["reserve"], b["span_ms"] * 1000, b["calls"])
     if faults:
         raise FleetFault(faults)
     return FleetConfig(at["service"], told["name"] if "name" in raw else name, told["site"],
-                       told["lease_ms"] * 1000, told["drift"], at.get("listen"), peers, tuple(found))
+                       told["lease_ms"] * 1000, told["drift"], at.get("listen"), peers,
+                       tuple(found.values()))
 
 
 def _struct(raw: Any, kind: type[Struct], path: str, faults: list[tuple[str, str]]) -> dict[str, Any]:
-    """The fields that convert, defaults in place of missing ones. msgspec stops at a fault, so one by one."""
+    """The fields that convert, defaults in place of missing ones. msgspec stops at a fault, so where there is
+    one they are taken one by one."""
     if not isinstance(raw, dict):
         faults.append((path, "not an object"))
         return {}
+    with suppress(ValidationError):
+        return structs.asdict(msgspec.convert(raw, kind))
     told: dict[str, Any] = {}
     for field in structs.fields(kind):
         where = f"{path}.{field.name}"
--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -22,7 +22,7 @@
 """What each forwarder has its own of."""
 OWN_FLEET = ("name", "site", "listen", "peers")
 """And within `fleet`."""
-MOST_TOLD = 200  # faults, warnings and changes that are named
+MOST_TOLD = 1_024  # faults, warnings and changes that are named; 100 bytes each
 MOST_DEEP = 60
 FIXED = ("name", "listen", "state", "admin", "power", "log_json")
 """What only a start can change, by the field of Config."""
--- a/lemonshunt/registry/bodies.py
+++ b/lemonshunt/registry/bodies.py
@@ -15,7 +15,7 @@
 import msgspec
 from msgspec import Meta, Struct, ValidationError, structs
 
-MOST_OPS = 1_000  # in one change
+MOST_OPS = 10_000  # in one change; the body's 1 MiB holds half as many, so that binds first
 VERSIONS = 1 << 53  # a version is below: what JSON readers hold exactly
 T = TypeVar("T")
 
--- a/lemonshunt/registry/house.py
+++ b/lemonshunt/registry/house.py
@@ -17,6 +17,7 @@
 from lemonshunt.registry.figures import Figures, Metrics
 from lemonshunt.registry.writer import Asked, Full, Rounds, Wish, Writer
 
+MOST_ANSWERS = 256  # encoded answers kept until the next change, by the version that they build on
 log = logging.getLogger("lemonshunt.registry")
 
 
@@ -60,7 +61,7 @@
         delta = since is not None and self.registry.floor <= since <= self.registry.seq
         key = since if delta and epoch in (None, self.registry.epoch) else None
         if key not in self._answers:
-            if len(self._answers) > 256:
+            if len(self._answers) > MOST_ANSWERS:
                 self._answers.clear()
             self._answers[key] = msgspec.json.encode(self.registry.owed(since, epoch))
         return self._answers[key]
--- a/lemonshunt/registry/web.py
+++ b/lemonshunt/registry/web.py
@@ -20,7 +20,8 @@
 from lemonshunt.registry.house import House
 from lemonshunt.registry.writer import Full, Unknown
 
-MOST_FAULTS = 1_000  # in one answer
+MOST_FAULTS = 1_024  # in one answer
+BACKLOG = 1_024  # connections not yet accepted, as a whole fleet's at once; allocates nothing ahead
 MOST_LINE = 8 * 1024  # the request line, or one header
 FULL = (b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n"
         b"Connection: close\r\n\r\n")
@@ -188,7 +189,7 @@
         assert server is not None
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Connection(self.house, server), host, port,
-                                                 backlog=1024)
+                                                 backlog=BACKLOG)
         return int(self.listener.sockets[0].getsockname()[1])
 
     def shut(self) -> None:
--- a/lemonshunt/session/desk.py
+++ b/lemonshunt/session/desk.py
@@ -14,7 +14,7 @@
 from lemonshunt.session.states import Actions, Limits, State
 from lemonshunt.session.taker import Taker
 
-MOST_PAST = 1_000
+MOST_PAST = 10_000  # hand-overs remembered after their end, of a fleet's; 250 bytes each
 Done = list[tuple[str, s.Action]]
 """Actions in order, each with the order key of the session that it is about ("" where there is none)."""
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -3,20 +3,224 @@
 
 from __future__ import annotations
 
+import ast
 import asyncio
+import importlib
+import json
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+import pytest
+
+from lemonshunt.budget.config import MOST_BUDGETS, MOST_PARTS, beat_needs
+from lemonshunt.budget.wants import Wants
+from lemonshunt.journal.state import MOST_LOST, State
+from lemonshunt.lease.table import Table
+from lemonshunt.lease.terms import Terms
+from lemonshunt.member.roster import MOST_GONE as MOST_MEMBERS_GONE
+from lemonshunt.member.roster import Grant, Roster
 from lemonshunt.net.address import Address
-from lemonshunt.net.config import Config, Host, HostList, host
+from lemonshunt.net.config import Config, Host, HostList, host, host_list
 from lemonshunt.net.desk import MOST_GONE
+from lemonshunt.net.discovery import Client
 from lemonshunt.net.engine import Engine
+from lemonshunt.net.fleet_books import Books
+from lemonshunt.net.fleet_config import read
+from lemonshunt.net.http import MOST_LIST
+from lemonshunt.registry.bounds import Bounds
 from lemonshunt.wirehost import settings
-from tests.sockets import SETTINGS
+from tests.sockets import SETTINGS, Answer, Peer, always
 
 ROOT = Path(__file__).resolve().parent.parent
 LEAST = 1_024
 ENDPOINTS = 44_000
+LISTS = {
+    "budget.config.MOST_BUDGETS", "choice.routes.MOST_GONE", "journal.state.MOST_LOST",
+    "lab.sweep.MOST_SEEDS", "member.roster.MOST_GONE", "net.client.MOST_WAITS", "net.desk.MOST_DESTINATIONS",
+    "net.desk.MOST_GONE", "net.desk.MOST_RECENT", "net.discovery.MOST_NOTICES", "net.fleet_books.MOST_SPENT",
+    "net.fleet_config.MOST_PEERS", "net.reconfigure.MOST_TOLD", "net.server.BACKLOG",
+    "registry.bodies.MOST_OPS", "registry.core.MOST_IDS", "registry.core.MOST_TOMBSTONES",
+    "registry.disk.KEPT_NOTICES",
+    "registry.disk.MOST_NOTICES", "registry.maps.MOST_RANGES", "registry.web.BACKLOG",
+    "registry.web.MOST_FAULTS", "session.desk.MOST_PAST", "session.words.ITEMS", "shard.plan.MOST_RANGES",
+}
+TEXT = "bytes or characters, no list"
+NUMBER = "a time or a number that is told, no list"
+ONE = "of one connection, call or target, whatever the fleet's size"
+EXEMPT = {
+    "budget.book.MOST_OPEN": "grants to one process not acknowledged; older ones count as one",
+    "budget.config.MOST_PARTS": "weights of one destination's classes and tenants",
+    "budget.divide.CREDIT_MOST": NUMBER,
+    "budget.wants.MOST_PARTS": "parts of one destination's need told apart; the others count as one",
+    "choice.routes.ASK_MOST_US": NUMBER,
+    "journal.__main__.MOST_NAMED": "names on one printed line; the report has them all",
+    "journal.format.MOST_NUMBER": NUMBER,
+    "journal.format.MOST_RECORD": TEXT,
+    "lab.plan.MAX_MESSAGES": "two million",
+    "lab.shapes.MAX_FORWARDERS": "real processes on the one machine of a trial",
+    "lab.shapes.MAX_PEERS": "real processes on the one machine of a trial",
+    "lab.shapes.MAX_RATE": NUMBER,
+    "lab.sweep.MOST_JOBS": "trials at once on one machine",
+    "lease.holder.MOST_ASKS": "renewals of one lease under way; later answers are of no use",
+    "lease.terms.MOST_LEAP": NUMBER,
+    "lease.terms.MOST_NOTE": "entries of one lease's note",
+    "lease.terms.MOST_TEXT": TEXT,
+    "member.roster.MOST_NAME": TEXT,
+    "net.admin.BACKLOG": "operators, who hold descriptors of the forwarder's: 16 of them at a time",
+    "net.admin.MOST_BODY": TEXT,
+    "net.admin.MOST_CALLS": "operators, who hold descriptors of the forwarder's",
+    "net.admin.MOST_CONFIG": TEXT,
+    "net.admin.MOST_HEAD": TEXT,
+    "net.answers.MOST_LIMIT": NUMBER,
+    "net.answers.MOST_WAIT_US": NUMBER,
+    "net.client_connection.MOST_AHEAD": ONE,
+    "net.client_connection.MOST_WAITING": ONE,
+    "net.fleet.MOST_RETRY_MS": NUMBER,
+    "net.fleet_books.MOST_PART_BYTES": TEXT,
+    "net.fleet_file.MOST_BYTES": TEXT,
+    "net.handover.MOST_HOLD_S": NUMBER,
+    "net.http.MOST_BODY": TEXT,
+    "net.http.MOST_HEAD": TEXT,
+    "net.http.MOST_LIST": TEXT,
+    "net.idle.MOST_IDLE": ONE,
+    "net.link.MOST_LINE": TEXT,
+    "net.link.MOST_PATH": TEXT,
+    "net.reconfigure.MOST_DEEP": "objects within each other",
+    "net.server.MOST_UNREAD": TEXT,
+    "registry.budgets.MOST_US": NUMBER,
+    "registry.house.MOST_ANSWERS": "a cache: what is not in it is encoded again; up to 8 MiB each",
+    "registry.reads.MOST_HOLD_MS": NUMBER,
+    "registry.web.MOST_LINE": TEXT,
+    "session.where.MOST_HOPS": "forwarders that one message may go through",
+    "shard.check.MOST_MOVED": NUMBER,
+    "shard.maps.MOST_DIGITS": TEXT,
+    "shard.maps.MOST_GENERATION": NUMBER,
+    "shard.moves.MOST_AHEAD": NUMBER,
+    "shard.ranges.MOST_PIECES": "pieces that one range is split into at once",
+}
+ALSO = {"session.words.ITEMS", "registry.disk.KEPT_NOTICES"}
+"""Bounds of lists by other names than the usual."""
+
+
+def sources() -> Iterator[tuple[str, ast.Module]]:
+    for path in sorted((ROOT / "lemonshunt").rglob("*.py")):
+        module = ".".join(path.relative_to(ROOT / "lemonshunt").with_suffix("").parts)
+        yield module, ast.parse(path.read_text())
+
+
+def constants() -> Iterator[str]:
+    """The named bounds, by the module that defines them."""
+    for module, tree in sources():
+        for node in tree.body:
+            names = [n.id for target in getattr(node, "targets", []) for n in ast.walk(target)
+                     if isinstance(n, ast.Name)]
+            yield from (f"{module}.{name}" for name in names if f"{module}.{name}" in ALSO
+                        or "BACKLOG" in name or {"MOST", "MAX"} & set(name.split("_")))
+
+
+def test_each_named_bound_is_of_a_list_and_not_below_1024_or_exempt_for_a_reason() -> None:
+    assert set(constants()) == LISTS | set(EXEMPT) and not LISTS & set(EXEMPT)
+    found = {}
+    for full in LISTS:
+        module, _, name = full.rpartition(".")
+        found[full] = getattr(importlib.import_module(f"lemonshunt.{module}"), name)
+    assert {full: most for full, most in found.items() if most < LEAST} == {}
+    bounds = Bounds()
+    assert min(bounds.watchers, bounds.connections, bounds.queued) >= LEAST
+
+
+def test_no_smaller_bound_is_hidden_in_a_call() -> None:
+    """Lengths and backlogs that stand as plain numbers, and lists cut off at one."""
+    found = []
+    for module, tree in sources():
+        for node in ast.walk(tree):
+            given: list[ast.expr | None] = []
+            if isinstance(node, ast.Call):
+                given = [k.value for k in node.keywords if k.arg in ("maxlen", "backlog", "maxsize")]
+                if isinstance(node.func, ast.Attribute) and node.func.attr == "listen":
+                    given += node.args
+            elif isinstance(node, ast.Compare) and isinstance(node.left, ast.Call) and getattr(
+                    node.left.func, "id", "") == "len" and isinstance(node.ops[0], ast.Gt | ast.GtE):
+                given = [*node.comparators]
+            numbers = [v.value for v in given if isinstance(v, ast.Constant) and isinstance(v.value, int)]
+            found += [f"{module}: {ast.unparse(node)}" for number in numbers if 16 < number < LEAST]
+    assert [line for line in found if not re.search(r"len\((key|text|order_key)\)", line)] == []
+
+
+# The configuration's file and a beat
+
+
+def fleet(budgets: int, peers: int) -> dict[str, Any]:
+    return {"service": "127.0.0.1:1", "site": "a",
+            "budgets": [{"destination": n, "span_ms": 1_000, "calls": 10, "members": 5}
+                        for n in range(budgets)],
+            "peers": {f"forwarder-{n}": f"127.0.0.1:{n + 1}" for n in range(peers)}}
+
+
+@pytest.mark.parametrize("budgets, peers", [(LEAST, LEAST), (MOST_BUDGETS, 10_000)])
+def test_a_file_with_so_many_budgets_and_peers_is_taken(budgets: int, peers: int) -> None:
+    told = read(fleet(budgets, peers), "f")
+    assert len(told.budgets) == budgets and len(told.peers) == peers
+
+
+def test_demand_is_counted_for_as_many_destinations_as_the_service_takes() -> None:
+    books = Books((), 0.0, {}, 0)
+    for destination in range(ENDPOINTS):
+        books.wanted(destination, "order/a-tenant", 10)
+    told = books.needs({ENDPOINTS + n: {"pay/another-tenant": 1} for n in range(10)}, 20)
+    assert len(told) == MOST_BUDGETS and beat_needs(told)
+    assert len(books.wants) == MOST_BUDGETS
+
+
+def test_a_beat_stays_within_the_service_s_body_by_merging_parts() -> None:
+    named = read(fleet(MOST_BUDGETS, 0), "f").budgets
+    books = Books(named, 0.0, {}, 0)
+    for destination in range(MOST_BUDGETS):
+        for tenant in range(20):
+            books.wanted(destination, f"a-class-of-messages/tenant-{tenant}", 10)
+    told = books.needs({}, 20)
+    assert len(told) == MOST_BUDGETS and {sum(parts.values()) for parts in told.values()} == {20}
+    holds = {str(d): [10**6, 10**6] for d in range(MOST_BUDGETS)}
+    assert len(json.dumps({"needs": told, "holds": holds})) < Bounds().body
+
+
+def test_parts_that_wait_past_those_told_apart_count_as_one_and_none_is_left_out() -> None:
+    wants = Wants(1_000)
+    for n in range(100):
+        wants.arrived(10, f"come-{n}")
+    needs = wants.needs(20, {f"waits-{n}": 1 for n in range(100)})
+    assert len(needs) <= MOST_PARTS and sum(needs.values()) == 200
+
+
+# Members and messages
+
+
+def test_a_whole_fleet_that_is_lost_is_told_of() -> None:
+    table = Table(Terms(0.02, 1_000, 1_000_000))
+    table.commit(table.start(0, True))
+    roster = Roster(table, 1_000_000)
+    roster.started(0)
+    names = [f"forwarder-{n:05}" for n in range(MOST_MEMBERS_GONE + 10)]
+    for name in names:
+        made = roster.join(2_000_000, name, "a", "h:1")
+        assert isinstance(made, Grant)
+        roster.commit(made.record)
+    for record in roster.tick(10_000_000):
+        roster.commit(record)
+    gone = [m for m in roster.members.values() if m.state == "lost"]
+    assert len(gone) == MOST_MEMBERS_GONE >= LEAST and roster.in_force() == []
+    since = roster.owed(roster.floor, roster.epoch)
+    assert not since["whole"] and len(since["members"]) == MOST_MEMBERS_GONE
+
+
+def test_lost_messages_are_named() -> None:
+    state = State()
+    state.doubt()
+    for n in range(MOST_LOST + 1):
+        state.read(json.dumps(["a", f"m{n}", 0, 1, "s1"]).encode())
+    assert len(state.lost) == MOST_LOST >= LEAST
 
 
 # Endpoints
@@ -77,3 +281,15 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("indent", [None, 2, 4])
+def test_a_list_of_44000_endpoints_is_taken_whole_over_a_socket(indent: int | None) -> None:
+    async def scene() -> None:
+        told = {"seq": 1, "whole": True, "hosts": [endpoint(n) for n in range(ENDPOINTS)]}
+        body = json.dumps(told, indent=indent).encode()
+        assert len(body) > ENDPOINTS * 190 and len(body) < MOST_LIST
+        peer = await Peer(always(Answer(200, body=body))).start()
+        client = Client(Address("127.0.0.1", peer.port))
+        answer = await client.ask("GET", "/discovery/hosts", 20.0)
+        assert len(host_list(json.loads(answer.body)).hosts) == ENDPOINTS
+        client.close()
+    asyncio.run(scene())
