Write a list that is longer than a connection may hold in pieces, as its reader takes it

A list of 44,000 endpoints is 8.3 MB. What a connection has not taken was bounded at 4 MiB, and past that the connection is cut, so no reader was ever told such a list. It is written in pieces of 256 KiB now; a writer waits until its reader has taken those before, all readers share the encoded bytes, and a reader that takes none is still cut by the kernel after unread_s. Answers within the bound go on as before, and a reader that piles them up is cut as before. Raising the bound instead would have held 8 MB for each of 540 readers.

--- a/lemonshunt/registry/bounds.py
+++ b/lemonshunt/registry/bounds.py
@@ -14,7 +14,8 @@
     connections: int = 20_000
     """Open connections at all addresses."""
     held_bytes: int = 4 * 1024 * 1024
-    """Answers that one connection has not taken yet; past it the connection is cut."""
+    """Answers that one connection has not taken yet; past it the connection is cut. A list that is longer is
+    written in pieces, as its reader takes them."""
     unread_s: float = 30.0
     """How long a peer may take none of what was sent to it before the kernel cuts the connection."""
     queued: int = 10_000
--- a/lemonshunt/registry/reads.py
+++ b/lemonshunt/registry/reads.py
@@ -6,7 +6,7 @@
 
 from lemonshunt.registry import bodies
 from lemonshunt.registry.house import House
-from lemonshunt.registry.web import answer, get, whole_body
+from lemonshunt.registry.web import answer, get, long_answer, whole_body
 
 MOST_HOLD_MS = 60_000
 
@@ -19,7 +19,7 @@
         hold = min(ask.hold_ms, MOST_HOLD_MS)
         if hold > 0 and house.registry.waits(ask.since, ask.epoch) and not house.stopping:
             await house.hold(house.changed, hold)
-        return answer(200, house.answer(ask.since, ask.epoch))
+        return await long_answer(request, house.answer(ask.since, ask.epoch))
 
     async def notices(request: web.Request) -> web.StreamResponse:
         told = bodies.notices(await whole_body(request, house.bounds))
--- a/lemonshunt/registry/web.py
+++ b/lemonshunt/registry/web.py
@@ -7,7 +7,7 @@
 import json
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -22,6 +22,7 @@
 
 MOST_FAULTS = 1_024  # in one answer
 BACKLOG = 1_024  # connections not yet accepted, as a whole fleet's at once; allocates nothing ahead
+PIECE = 256 * 1024  # bytes of a long answer written at once
 MOST_LINE = 8 * 1024  # the request line, or one header
 FULL = (b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n"
         b"Connection: close\r\n\r\n")
@@ -36,6 +37,24 @@
                         content_type="application/json" if data else None)
 
 
+async def long_answer(request: web.Request, body: bytes) -> web.StreamResponse:
+    """A body that may be longer than what one connection may hold: it is then written in pieces, each once
+    the reader has taken those before. So all readers of a list share its bytes."""
+    held_bytes = request.app[HOUSE].bounds.held_bytes
+    if len(body) <= held_bytes:
+        return answer(200, body)
+    told = web.StreamResponse(headers={"Content-Type": "application/json"})
+    told.content_length = len(body)
+    connection, piece = request.protocol, min(PIECE, held_bytes // 4)
+    assert isinstance(connection, Connection)
+    with connection.waiting_past(piece):
+        await told.prepare(request)
+        for at in range(0, len(body), piece):
+            await told.write(memoryview(body)[at:at + piece])
+        await told.write_eof()
+    return told
+
+
 def fault(status: int, faults: list[str], headers: dict[str, str] | None = None,
           more: dict[str, Any] | None = None) -> web.Response:
     told = faults[:MOST_FAULTS] + ([f"and {len(faults) - MOST_FAULTS} more"] if faults[MOST_FAULTS:] else [])
@@ -65,7 +84,7 @@
     """One connection, within the bounds: past the count of them it is answered 503 at once, and one that
     does not take what it is owed is cut."""
 
-    __slots__ = ("house", "counted", "cut")
+    __slots__ = ("house", "counted", "cut", "waits")
 
     def __init__(self, house: House, server: web.Server) -> None:
         bounds, loop = house.bounds, asyncio.get_running_loop()
@@ -75,6 +94,8 @@
                          access_log=silent, max_line_size=MOST_LINE, max_field_size=MOST_LINE,
                          auto_decompress=False)
         self.house, self.counted, self.cut = house, False, False
+        self.waits = False
+        """Past what may be held its writer waits; the connection is not cut."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -95,10 +116,26 @@
         transport.set_write_buffer_limits(high=bounds.held_bytes)
         super().connection_made(transport)
 
+    @contextlib.contextmanager
+    def waiting_past(self, held: int) -> Iterator[None]:
+        """Within this a writer waits where so many bytes are not taken yet. A reader that takes none of them
+        is cut by the kernel (`unread_s`)."""
+        self.waits = True
+        self._hold(held)
+        try:
+            yield
+        finally:
+            self.waits = False
+            self._hold(self.house.bounds.held_bytes)
+
+    def _hold(self, held: int) -> None:
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(high=held)
+
     def pause_writing(self) -> None:
         """Past the bytes that may be held for it: it asks again from its version on a new connection."""
         super().pause_writing()
-        if self.transport is not None and not self.cut:
+        if self.transport is not None and not self.cut and not self.waits:
             self.cut = True
             self.house.figures.slow_closed += 1
             self.transport.abort()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,9 +5,11 @@
 
 import ast
 import asyncio
+import gc
 import importlib
 import json
 import re
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -31,8 +33,10 @@
 from lemonshunt.net.http import MOST_LIST
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.registry.bounds import Bounds
+from lemonshunt.registry.web import Connection
 from lemonshunt.wirehost import settings
-from tests.sockets import SETTINGS, Answer, Peer, always
+from tests.sockets import PATIENCE, SETTINGS, Answer, Peer, always
+from tests.test_registry_bounds import Run, play
 
 ROOT = Path(__file__).resolve().parent.parent
 LEAST = 1_024
@@ -310,3 +314,37 @@
         assert len(host_list(json.loads(answer.body)).hosts) == ENDPOINTS
         client.close()
     asyncio.run(scene())
+
+
+def test_the_list_service_tells_44000_endpoints_whole_and_holds_few_of_their_bytes(tmp_path: Path) -> None:
+    held = 1024 * 1024
+
+    async def test(run: Run) -> None:
+        for first in range(0, ENDPOINTS, 4_000):
+            ops = [{"op": "register", **endpoint(n)} for n in range(first, first + 4_000)]
+            assert (await run.ask("/v1/hosts", {"ops": ops}))[0] == 200
+        client = Client(Address("127.0.0.1", run.list))
+        answer = await client.ask("GET", "/discovery/hosts", PATIENCE)
+        assert len(host_list(json.loads(answer.body)).hosts) == ENDPOINTS and len(answer.body) > held
+        client.close()
+        taken, most = await slowly(run.list)
+        assert taken > len(answer.body) and 0 < most <= held and run.service.figures.slow_closed == 0
+    play(tmp_path, test, held_bytes=held)
+
+
+async def slowly(port: int) -> tuple[int, int]:
+    """Bytes that a reader with a small window took of the list, and the most that the service held for it."""
+    loop, taken, most = asyncio.get_running_loop(), 0, 0
+    ask = b"GET /discovery/hosts HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        await loop.sock_sendall(sock, ask)
+        taken += len(await loop.sock_recv(sock, 1))
+        open_here = [c for c in gc.get_objects() if isinstance(c, Connection) and c.transport is not None]
+        while data := await loop.sock_recv(sock, 64 * 1024):
+            taken += len(data)
+            sizes = [c.transport.get_write_buffer_size() for c in open_here if c.transport is not None]
+            most = max([most, *sizes])
+    return taken, most
