--- a/lemonshunt/net/reconfigure.py
+++ b/lemonshunt/net/reconfigure.py
@@ -50,11 +50,14 @@
     changes: list[str] = field(default_factory=list)
     restart: list[str] = field(default_factory=list)
     config: Config | None = None
+    paths: dict[str, set[str]] = field(default_factory=dict, repr=False)
+    """What each path that is at fault was told of it."""
 
     def fault(self, path: str, text: str) -> None:
-        told = {"path": path, "fault": text}
-        if len(self.faults) < MOST_TOLD and told not in self.faults:
-            self.faults.append(told)
+        told = self.paths.setdefault(path, set())
+        if len(self.faults) < MOST_TOLD and text not in told:
+            told.add(text)
+            self.faults.append({"path": path, "fault": text})
 
     @property
     def valid(self) -> bool:
@@ -127,7 +130,7 @@
         fleet(told.get("fleet"), old.name)
     except FleetFault as error:
         for where, what in error.faults:
-            if all(where != f["path"] for f in verdict.faults):
+            if where not in verdict.paths:
                 verdict.fault(where, what)
     except ConfigError as error:
         verdict.fault("fleet", str(error))
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -24,13 +24,14 @@
 from lemonshunt.member.roster import MOST_GONE as MOST_MEMBERS_GONE
 from lemonshunt.member.roster import Grant, Roster
 from lemonshunt.net.address import Address
-from lemonshunt.net.config import Config, Host, HostList, host, host_list
+from lemonshunt.net.config import Config, Host, HostList, host, host_list, parse
 from lemonshunt.net.desk import MOST_GONE
 from lemonshunt.net.discovery import Client
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.fleet_books import Books
 from lemonshunt.net.fleet_config import read
 from lemonshunt.net.http import MOST_LIST
+from lemonshunt.net.reconfigure import MOST_TOLD, examine
 from lemonshunt.net.store import Store, Taken
 from lemonshunt.registry.bounds import Bounds
 from lemonshunt.registry.web import Connection
@@ -171,6 +172,18 @@
     assert len(told.budgets) == budgets and len(told.peers) == peers
 
 
+def test_a_file_with_so_many_faults_is_told_of_1024(tmp_path: Path) -> None:
+    file = {"name": "f", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "settings": SETTINGS}
+    old = parse({**file, "fleet": fleet(MOST_BUDGETS, 0)}, {"LB_STATE": str(tmp_path)})
+    bad = fleet(MOST_BUDGETS, 0)
+    for budget in bad["budgets"]:
+        budget["calls"] = 0
+    found = examine(json.dumps({**file, "fleet": bad}).encode(), old, {"LB_STATE": str(tmp_path)}).faults
+    assert len(found) == MOST_TOLD >= LEAST
+    assert {tuple(fault) for fault in found} == {("path", "fault")}
+    assert len({fault["path"] for fault in found}) == MOST_TOLD
+
+
 def test_demand_is_counted_for_as_many_destinations_as_the_service_takes() -> None:
     books = Books((), 0.0, {}, 0)
     for destination in range(ENDPOINTS):
