--- a/lemonshunt/journal/state.py
+++ b/lemonshunt/journal/state.py
@@ -11,6 +11,7 @@
   l (list) [seq, hosts, source]: the last list and the discovery that told it, since `known` may be older than
     what this forwarder was told of drains
   p [] + another record, compressed: a list of many hosts
+  u (update) [seq before, seq, hosts, names gone, source]: what changed in the list of that version and source
   h (out) [host, whether]: taken out by operators, or put back
   g (outage) [host, since, back]: a target seen in an outage; its cold budget must hold across a restart too
   c [base, boot]: a process began; its clock is the machine's monotonic one, plus the base
@@ -106,7 +107,7 @@
             "over": self._over, "e": self._owed, "owed": self._owed, "d": self._told, "told": self._told,
             "l": self._list, "list": self._list, "g": self._outage, "outage": self._outage, "r": self._rules,
             "rules": self._rules, "h": self._out, "out": self._out, "c": self._clock, "z": self._closed,
-            "p": self._packed}
+            "p": self._packed, "u": self._update}
 
     # Reading
 
@@ -220,6 +221,16 @@
         self.read(zlib.decompress(body))
         self.list_size = len(body)
 
+    def _update(self, rest: list[Any], body: bytes) -> None:
+        before, seq, changed, gone, source = rest
+        if (before, source) != (self.seq, self.source):
+            self.seq = -1  # damage took what it builds on: no version of the list is known, all is asked for
+            return
+        for name in gone:
+            self.hosts.pop(name, None)
+        self.hosts.update((h["host"], h) for h in changed)
+        self.seq = seq
+
     def _rules(self, rest: list[Any], body: bytes = b"") -> None:
         number, attempts, classes = rest
         self.rules[number] = Rules(attempts, tuple(map(_class, classes)))
--- a/lemonshunt/net/store.py
+++ b/lemonshunt/net/store.py
@@ -20,6 +20,7 @@
 
 __all__ = ["Owed", "Rules", "Store", "Taken", "Worker"]
 BLOCK = 512
+FEW = 4  # of a list, less than this part of it: the changes are written, else the whole
 OUTAGE_KEPT_US = 3_600_000_000
 log = logging.getLogger("lemonshunt.store")
 
@@ -145,11 +146,21 @@
 
     def list(self, seq: int, hosts: dict[str, dict[str, Any]], now_us: int, source: str) -> None:
         """A target may leave the list in an outage and come back cold: its outage is kept for a time."""
+        self.log.append(self.list_record(seq, hosts, source))
         self.seq, self.source, self.hosts = seq, source, dict(hosts)
         self.outages = {h: o for h, o in self.outages.items() if max(o) > now_us - OUTAGE_KEPT_US}
-        payload = kept_list(seq, self.hosts, source)
-        self.log.append(payload)
+
+    def list_record(self, seq: int, hosts: dict[str, dict[str, Any]], source: str) -> bytes:
+        """What makes the list in force this one: its changes alone where they are few."""
+        old = self.hosts
+        changed = [h for name, h in hosts.items() if old.get(name) is not h and old.get(name) != h]
+        gone = [name for name in old if name not in hosts]
+        if source == self.source and self.seq >= 0 and len(changed) + len(gone) < len(hosts) // FEW:
+            self.list_size = self.list_size * len(hosts) // len(old)
+            return record("u", self.seq, seq, changed, gone, source)
+        payload = kept_list(seq, hosts, source)
         self.list_size = len(payload)
+        return payload
 
     def outage(self, host: str, since_us: int, back_us: int) -> None:
         self._outage([host, since_us, back_us])
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -315,6 +315,37 @@
     assert back.compact() and Store(tmp_path, 3_000_000, write=False).hosts == hosts
 
 
+def test_a_change_of_a_large_list_is_written_alone(tmp_path: Path) -> None:
+    store = Store(tmp_path, 3_000_000)
+    hosts = {h["host"]: h for h in map(endpoint, range(4_000))}
+    store.list(7, hosts, 0, "127.0.0.1:1")
+    store.flush()
+    before = store.log.bytes
+    for n in range(100):  # one drained, one gone, one new
+        hosts.pop(endpoint(n)["host"])
+        hosts.update((h["host"], h) for h in (endpoint(n + 1_000, "draining"), endpoint(n + 4_000)))
+        store.list(8 + n, hosts, 0, "127.0.0.1:1")
+        store.flush()
+    assert store.log.bytes - before < 100 * 1_000
+    back = Store(tmp_path, 3_000_000, write=False)
+    assert (back.hosts, back.seq) == (hosts, 107) and not back.report.damaged
+
+
+def test_a_change_whose_list_was_lost_leaves_no_version_to_go_on_from(tmp_path: Path) -> None:
+    store = Store(tmp_path, 3_000_000)
+    hosts = {h["host"]: h for h in map(endpoint, range(10))}
+    store.list(7, hosts, 0, "127.0.0.1:1")
+    for seq in (8, 9):
+        hosts[endpoint(seq)["host"]] = endpoint(seq, "draining")
+        store.list(seq, hosts, 0, "127.0.0.1:1")
+    store.flush()
+    data = bytearray((tmp_path / "journal").read_bytes())
+    data[data.index(b'["u",7,8') + 2] ^= 1
+    (tmp_path / "journal").write_bytes(data)
+    back = Store(tmp_path, 3_000_000, write=False)
+    assert back.report.damaged and back.seq == -1 and len(back.hosts) == 10
+
+
 @pytest.mark.parametrize("indent", [None, 2, 4])
 def test_a_list_of_44000_endpoints_is_taken_whole_over_a_socket(indent: int | None) -> None:
     async def scene() -> None:
