Let the lab's relay pass on a list of 44,000 endpoints

A list of 44,000 endpoints is 9.0 MB, and 14.0 MB where it is indented; the relay passed on 8 MiB. What it reads is still sized by what comes.

--- a/lemonshunt/lab/relay.py
+++ b/lemonshunt/lab/relay.py
@@ -19,7 +19,7 @@
 from lemonshunt.lab.proxy import DIAL_S, reset
 
 HEAD = 16384
-BODY = 8 * 1024 * 1024
+BODY = 32 * 1024 * 1024  # bytes; a list of 44,000 endpoints, written out for reading, is 14 MB
 NAMES = {"hosts": "host", "members": "name"}
 """Lists in the service's answers whose entries have a dial, and the field that names the entry."""
 
