Bound the list service's kept answers by their bytes, not by their number

256 encoded answers were kept until the next change, whatever their size: with lists of 8.3 MB that is 2.1 GB at the bound. 64 MiB are kept now, which is seven such lists or thousands of small changes.

Red before (with the number as the bound): the sum of the kept answers is over the bound of the test's 20,000 bytes.

--- a/lemonshunt/registry/house.py
+++ b/lemonshunt/registry/house.py
@@ -17,7 +17,7 @@
 from lemonshunt.registry.figures import Figures, Metrics
 from lemonshunt.registry.writer import Asked, Full, Rounds, Wish, Writer
 
-MOST_ANSWERS = 256  # encoded answers kept until the next change, by the version that they build on
+MOST_KEPT_BYTES = 64 * 1024 * 1024  # of encoded answers kept until the next change: seven lists of 44,000
 log = logging.getLogger("lemonshunt.registry")
 
 
@@ -48,6 +48,7 @@
         self.on_end: list[Callable[[], None]] = []
         self.on_fence: list[Callable[[int], None]] = []
         self._answers: dict[int | None, bytes] = {}
+        self._answer_bytes = 0
         self._spaced = Spaced(self.bounds.lifts, int(self.bounds.lift_s * 1_000_000))
         self._claim = (0, 0)  # highest version and epoch that readers showed, not gone past yet
         self._claiming = asyncio.Lock()
@@ -61,11 +62,17 @@
         delta = since is not None and self.registry.floor <= since <= self.registry.seq
         key = since if delta and epoch in (None, self.registry.epoch) else None
         if key not in self._answers:
-            if len(self._answers) > MOST_ANSWERS:
-                self._answers.clear()
-            self._answers[key] = msgspec.json.encode(self.registry.owed(since, epoch))
+            made = msgspec.json.encode(self.registry.owed(since, epoch))
+            if self._answer_bytes + len(made) > MOST_KEPT_BYTES:
+                self._forget_answers()
+            self._answers[key] = made
+            self._answer_bytes += len(made)
         return self._answers[key]
 
+    def _forget_answers(self) -> None:
+        self._answers.clear()
+        self._answer_bytes = 0
+
     async def hold(self, changed: asyncio.Future[None], hold_ms: int) -> None:
         """Wait until `changed` (taken with no await since the check, so that no change falls between). A
         watcher that leaves is cancelled here, and counts no more. Raises Refused past the bound."""
@@ -83,7 +90,7 @@
             self.figures.watches_held -= 1
 
     def wake(self) -> None:
-        self._answers.clear()
+        self._forget_answers()
         changed, self.changed = self.changed, asyncio.get_running_loop().create_future()
         changed.set_result(None)
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -33,6 +33,7 @@
 from lemonshunt.net.http import MOST_LIST
 from lemonshunt.net.reconfigure import MOST_TOLD, examine
 from lemonshunt.net.store import Store, Taken
+from lemonshunt.registry import house
 from lemonshunt.registry.bounds import Bounds
 from lemonshunt.registry.web import Connection
 from lemonshunt.wirehost import settings
@@ -97,7 +98,7 @@
     "net.reconfigure.MOST_DEEP": "objects within each other",
     "net.server.MOST_UNREAD": TEXT,
     "registry.budgets.MOST_US": NUMBER,
-    "registry.house.MOST_ANSWERS": "a cache: what is not in it is encoded again; up to 8 MiB each",
+    "registry.house.MOST_KEPT_BYTES": TEXT,
     "registry.reads.MOST_HOLD_MS": NUMBER,
     "registry.web.MOST_LINE": TEXT,
     "session.where.MOST_HOPS": "forwarders that one message may go through",
@@ -376,6 +377,21 @@
     play(tmp_path, test, held_bytes=held)
 
 
+def test_kept_answers_are_bounded_by_their_bytes(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(house, "MOST_KEPT_BYTES", 20_000)
+
+    async def test(run: Run) -> None:
+        versions = []
+        for n in range(10):
+            ops = [{"op": "register", **endpoint(10 * n + m)} for m in range(10)]
+            versions.append((await run.ask("/v1/hosts", {"ops": ops}))[2]["seq"])
+        for version in versions:
+            assert (await run.ask(f"/discovery/hosts?from={version - 1}"))[2]["seq"] == versions[-1]
+            kept = [a for h in gc.get_objects() if isinstance(h, house.House) for a in h._answers.values()]
+            assert kept and sum(map(len, kept)) <= 20_000
+    play(tmp_path, test)
+
+
 async def slowly(port: int) -> tuple[int, int]:
     """Bytes that a reader with a small window took of the list, and the most that the service held for it."""
     loop, taken, most = asyncio.get_running_loop(), 0, 0
