Compress what a successor needs of many budgets: the disk may be 3 MB

What is longer than 64 KiB (about 650 budgets) is compressed; shorter files are written as before, and both are read. An older program counts a compressed one as none: it waits a window and acts on the configuration's reserves. The bound of spent entries is 4,096 again, at least one for each budget, for the same reason.

--- a/lemonshunt/net/fleet_books.py
+++ b/lemonshunt/net/fleet_books.py
@@ -23,7 +23,7 @@
 SLACK_US = 5_000  # where the service tells none
 SPAN_US = 1_000_000  # demand is counted by it where no budget is known
 GROWN = 1.25  # needs that grew by so much since they were told are told at once
-MOST_SPENT = 40_960  # entries of all records together, 50 bytes each: four for each of 10,000 budgets
+MOST_SPENT = 4_096  # entries of all records together, at least one each: the disk may be 3 MB
 MOST_PART_BYTES = 256 * 1024  # of all parts' names in one beat: it stays within the service's 1 MiB
 ESCAPED = 12  # bytes in JSON of a character that is not ASCII, at most
 BARRED = 1 << 40  # calls; stands for those of a time that is not known
--- a/lemonshunt/net/fleet_file.py
+++ b/lemonshunt/net/fleet_file.py
@@ -1,6 +1,7 @@
 """What a member keeps for its successor, in `fleet.json` of the state folder: its token, and each purse.
 
-Small and bounded by the budgets; written beside and renamed, so that a crash leaves the old or the new one.
+Bounded by the budgets; written beside and renamed, so that a crash leaves the old or the new one. The folder
+may hold 3 MB in all, so the records of many budgets are compressed.
 """
 
 from __future__ import annotations
@@ -8,6 +9,7 @@
 import json
 import logging
 import threading
+import zlib
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +20,8 @@
 NAME = "fleet.json"
 FORM = 1
 MOST_BYTES = 16 << 20
+PLAIN_BYTES = 64 * 1024  # what is longer is compressed
+COMPRESSION = 1  # zlib's fastest
 OF_A_CLOCK = ("closed_us", "known_us", "spent")
 """What of a purse's record means nothing by the clock of another boot."""
 Records = dict[int, dict[str, Any]]
@@ -40,14 +44,15 @@
         try:
             if self.files.size(self.path) > MOST_BYTES:
                 raise ValueError("too large")
-            told = json.loads(self.files.read(self.path))
+            told = json.loads(plain(self.files.read(self.path)))
             if told["form"] != FORM:
                 raise ValueError(f"form {told['form']!r} is not known")
             token = Token.of(told["token"])
             records = {int(name): dict(record) for name, record in told["purses"].items()}
         except FileNotFoundError:
             return NEVER, {}
-        except (OSError, ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        except (OSError, ValueError, TypeError, KeyError, AttributeError, RecursionError,
+                zlib.error) as error:
             log.warning("%s cannot be read, and counts as none: %r", self.path, error)
             return NEVER, {}
         if not this_boot() or told.get("boot") != this_boot():
@@ -58,10 +63,11 @@
     def made(self, token: Token, records: Records) -> tuple[int, bytes]:
         """What `write` takes, as of now."""
         self.number += 1
-        return self.number, json.dumps({
+        text = json.dumps({
             "form": FORM, "boot": this_boot(), "token": token.told(),
             "purses": {str(name): record for name, record in sorted(records.items())},
         }, separators=(",", ":")).encode()
+        return self.number, text if len(text) <= PLAIN_BYTES else zlib.compress(text, COMPRESSION)
 
     def write(self, number: int, data: bytes) -> OSError | None:
         """Returns once it is on disk, as the level promises, or why it is not; the file before stays then.
@@ -92,3 +98,8 @@
         if self.synced:
             self.files.sync_folder(self.folder)
         self.written = data
+
+
+def plain(data: bytes) -> bytes:
+    """A file's JSON. Raises zlib.error where it neither begins as an object nor can be unpacked."""
+    return data if data.startswith(b"{") else zlib.decompress(data)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -21,6 +21,7 @@
 from lemonshunt.journal.state import MOST_LOST, State
 from lemonshunt.lease.table import Table
 from lemonshunt.lease.terms import Terms
+from lemonshunt.lease.token import Token
 from lemonshunt.member.roster import MOST_GONE as MOST_MEMBERS_GONE
 from lemonshunt.member.roster import Grant, Roster
 from lemonshunt.net.address import Address
@@ -30,6 +31,7 @@
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.fleet_books import Books
 from lemonshunt.net.fleet_config import read
+from lemonshunt.net.fleet_file import Keep
 from lemonshunt.net.http import MOST_LIST
 from lemonshunt.net.reconfigure import MOST_TOLD, examine
 from lemonshunt.net.store import Store, Taken
@@ -214,6 +216,19 @@
     assert len(needs) <= MOST_PARTS and sum(needs.values()) == 200
 
 
+def test_what_a_successor_needs_of_10000_budgets_takes_a_small_part_of_the_disk(tmp_path: Path) -> None:
+    books = Books(read(fleet(MOST_BUDGETS, 0), "f").budgets, 0.0, {}, 0)
+    for account in books.accounts.values():
+        for at in range(50):
+            account.purse.window.add(10**12 + 1_000 * at, 1)
+    keep = Keep(tmp_path, False)
+    records = books.close(10**12 + 10**5)
+    assert keep.write(*keep.made(Token(3, 4), records)) is None
+    assert keep.path.stat().st_size < 300_000
+    token, kept = Keep(tmp_path, False).read()
+    assert token == Token(3, 4) and kept == records
+
+
 # Members and messages
 
 
