--- /dev/null
+++ b/tests/test_terms_list.py
@@ -0,0 +1,65 @@
+"""Watches that fall silent late, while they are held, and lists that come whole and indented."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from lemonshunt.net.config import Address
+from lemonshunt.net.discovery import TOLD_S, told_within_s
+from tests.sockets import Answer, Peer, Request
+from tests.test_list_told_in_time import ROOM_S, SILENT, Agent, Longest, Rig, in_virtual_time, listing
+
+LATE_S = 13.0
+
+
+class SilentLater(Agent):
+    """All watches that are open when `fall_silent` is called stay without an answer. What it tells is
+    indented, and the whole list each time where `whole`."""
+
+    def __init__(self, whole: bool) -> None:
+        super().__init__()
+        self.whole = whole
+        self.open: set[int] = set()
+        self.dead: set[int] = set()
+
+    def fall_silent(self) -> None:
+        self.dead |= self.open
+
+    async def __call__(self, request: Request) -> Answer | bytes | None:
+        number = id(request)
+        self.open.add(number)
+        answer = await super().__call__(request)
+        self.open.discard(number)
+        if number in self.dead:
+            return SILENT
+        assert isinstance(answer, Answer)
+        told = json.loads(answer.body)
+        if self.whole and not told["whole"]:
+            told = {**told, "whole": True, "hosts": json.loads(listing(self.seq, self.health).body)["hosts"]}
+        return Answer(200, body=json.dumps(told, indent=4).encode())
+
+
+@pytest.mark.parametrize("into_hold", [0.0, 0.7, 1.4])
+@pytest.mark.parametrize("whole", [False, True])
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_that_falls_silent_after_13_s_costs_no_more_than_one_that_does_at_once(
+        pushed: bool, whole: bool, into_hold: float) -> None:
+    async def scene() -> None:
+        agent = SilentLater(whole)
+        peer = await Peer(agent).start()
+        rig = Rig(Address("127.0.0.1", peer.port), pushed, 3)
+        rig.watch.random = rig.dispatcher.random = Longest(3)
+        await rig.until(rig.serves)
+        await asyncio.sleep(LATE_S + into_hold)
+        assert rig.serves() and agent.open
+        agent.fall_silent()
+        agent.health, agent.seq = "draining", 2
+        fell = rig.loop.time()
+        await rig.until(lambda: not rig.serves())
+        assert rig.loop.time() - fell <= told_within_s(pushed) <= TOLD_S - ROOM_S
+        rig.watch.pause()
+        peer.server.close()
+    in_virtual_time(scene)
