--- a/lemonshunt/net/answers.py
+++ b/lemonshunt/net/answers.py
@@ -14,6 +14,7 @@
 MOST_WAIT_US = 600_000_000  # a longer wait is not to be believed
 MOST_LIMIT = 1e6
 PLAIN = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?", re.ASCII)  # float() reads more: nan, inf, 1_0
+SAME_FOR_ALL = (429, 500, 503)  # how all messages of a call may fare alike
 STATES = {"accepted": Outcome.DELIVERED, "fault": Outcome.FAILED, "deferred": Outcome.FULL,
           "expired": Outcome.NOT_SENT, "no_more": Outcome.NOT_SENT}
 log = logging.getLogger("lemonshunt.client")
@@ -46,6 +47,12 @@
     return Result(Outcome.FAILED)
 
 
+def same_for_all(reader: ResponseReader) -> Result:
+    """The outcome that a status other than 200 stands for where a call has several messages. That one is
+    over, or has had all its attempts, can only be told of each: what says so of all may have run."""
+    return single(reader) if reader.status in SAME_FOR_ALL else Result(Outcome.FAILED)
+
+
 def several(reader: ResponseReader) -> dict[str, Result]:
     """The ends of a batch call's messages, by id; those not named failed. Raises ValueError, TypeError,
     KeyError or RecursionError where its body cannot be read."""
--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -291,7 +291,7 @@
         if reader.status == 200 and many:
             self.batch_ended(call, reader, report)
             return
-        self.finish(call, answers.single(reader), report)
+        self.finish(call, answers.same_for_all(reader) if many else answers.single(reader), report)
 
     def batch_ended(self, call: Call, reader: ResponseReader, report: i.LoadReport | None) -> None:
         try:
--- a/tests/test_suspect_answers.py
+++ b/tests/test_suspect_answers.py
@@ -42,3 +42,19 @@
         assert s.outcomes() == [Outcome.SPOILT]
         s.done()
     play(scene)
+
+
+@pytest.mark.parametrize("status, outcome", [
+    (410, Outcome.FAILED), (504, Outcome.FAILED), (413, Outcome.FAILED), (500, Outcome.FAILED),
+    (503, Outcome.FULL), (429, Outcome.FULL)])
+def test_shared_call_is_over_for_none_of_its_messages_by_its_status(
+        status: int, outcome: Outcome, target: Target) -> None:
+    """A 410 was taken for the end of all, and nothing more was owed for any of them."""
+    async def scene() -> None:
+        s = Scene(target)
+        _, side = await s.out("a", "b")
+        side.sendall(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status)
+        await until(lambda: s.ends)
+        assert s.outcomes() == [outcome] * 2 and not any(e.closed for e in s.ends)
+        s.done()
+    play(scene)
