End a call sooner by as much as the loop is late

Change: the listener's look at how late the loop is, halving in 1.7 s, is taken off the time of a call: 150 ms at most, and a quarter of what is left at most. Where the loop is in time it is a millisecond or less.

--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -40,6 +40,8 @@
 __all__ = ["MOST_GONE", "MOST_RECENT", "RECALL", "Clock", "Engine"]
 RECALL = 100  # messages of before that the module is told of in one round, ...
 RECALL_S = 0.01  # ... and between two such rounds
+MOST_SOONER_US = 150_000  # a call ends so much before its message's time at most where the loop is late, ...
+SOONER_PART = 4  # ... and by no more than this part of what is left of it
 UNKEPT_S = 0.25  # before a call that could not leave for want of its record is decided on again; doubles
 
 
@@ -275,6 +277,12 @@
         bound = cls is not None and cls.effect is i.Effect.KEYED and m.ran_at_us >= 0
         return m.ran_at_us + cls.window_us - WIRE_US if cls is not None and bound else 0
 
+    def patience_us(self, m: Taken, now: int) -> int:
+        """How long a call may be waited for. A loop that is late ends it so much sooner, or its message would
+        be past its time by then; an attempt with little time keeps most of it."""
+        left = m.due_us - now
+        return left - min(self.server.expected_late_us, MOST_SOONER_US, left // SOONER_PART)
+
     def send(self, a: i.Send, now: int, forming: dict[tuple[int, bool], Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
         """Journal an attempt and put it into a call: those of one round to one target travel together. A call
@@ -295,7 +303,7 @@
         self.store.attempt(m, number, now, name)
         cls = self.store.class_of(m)
         once = cls is not None and cls.effect is i.Effect.ONCE
-        until = now + min(a.timeout_us, m.due_us - now)
+        until = now + min(a.timeout_us, self.patience_us(m, now))
         item = Item(m.id, number, m.key, m.body, until, self.leave_by_us(m, cls))
         waits = once or (a.timeout_us >= m.due_us - now and m.order_key is None
                          and cls is not None and cls.effect is i.Effect.KEYED)
--- a/lemonshunt/net/server.py
+++ b/lemonshunt/net/server.py
@@ -27,6 +27,7 @@
 UNASKED_US = 400_000  # clients send at once, and wait for the answer so long
 SWEEP_S = 0.2
 BEAT_S = 0.05  # between two looks at how late the loop is: what it reads may have waited for so long
+LATE_FADE = 0.98  # each look's share of the latest that is still expected: it halves in 1.7 s
 LINGER_S = 0.5  # after a refusal of what could not be read, so that the client can read why
 MOST_UNREAD = 64 * 1024  # bytes of answers that a client has not taken: whoever waits for one answer has few
 BIND_TRIES, BIND_PAUSE_S = 100, 0.05
@@ -120,7 +121,7 @@
         super().__init__()
         self.settings, self.clock, self.most, self.hand_in = settings, clock, most, hand_in
         self.ready = ready
-        self.beat_due_us, self.late_us = clock(), 0
+        self.beat_due_us, self.late_us, self.expected_late_us = clock(), 0, 0
         self.beat_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
@@ -145,6 +146,7 @@
             return
         now = self.clock()
         self.late_us = max(0, now - self.beat_due_us)
+        self.expected_late_us = max(self.late_us, int(LATE_FADE * self.expected_late_us))
         self.beat_due_us = now + int(BEAT_S * 1_000_000)
         self.beat_timer = asyncio.get_running_loop().call_later(BEAT_S, self.beat)
 
--- a/tests/test_suspect_late_loop.py
+++ b/tests/test_suspect_late_loop.py
@@ -12,6 +12,7 @@
 from lemonshunt import interface as i
 from lemonshunt.choice.books import LOOK_US
 from lemonshunt.net.desk import ROUND_US, TICK_S
+from lemonshunt.net.engine import MOST_SOONER_US
 from lemonshunt.net.server import BEAT_S
 from lemonshunt.net.starting import OVERDUE_US
 from tests.sockets import Platform, hang, message
@@ -122,3 +123,29 @@
     assert OWED_US - (rounds - LOOK_US) >= 330 * MS
     assert OWED_US - rounds >= 290 * MS
     assert OWED_US - (OVERDUE_US + int(TICK_S * S) + rounds) >= 70 * MS
+
+
+@pytest.mark.parametrize("late_us, left_s, sooner_us", [
+    (0, 50, 0), (30 * MS, 50, 30 * MS), (900 * MS, 50, MOST_SOONER_US), (900 * MS, 0.4, 100 * MS)])
+def test_a_call_ends_sooner_by_as_much_as_the_loop_is_late(
+        tmp_path: Path, late_us: int, left_s: float, sooner_us: int) -> None:
+    async def scene(platform: Platform, folder: Path) -> None:
+        peer = await target(platform, hang)
+        run = await Running(folder, platform).ready()
+        engine = run.engine
+        assert engine.server.beat_timer is not None
+        engine.server.beat_timer.cancel()
+        client = Caller(run.port)
+        engine.schedule = lambda: None  # type: ignore[method-assign]
+        client.say(message("m", "pay", left=str(left_s), Idempotency_Key=None))
+        await run.until(lambda: "m" in engine.arriving)
+        engine.server.expected_late_us = late_us
+        due_us, clock = engine.arriving["m"][0].due_us, engine.clock
+        engine.clock = lambda: due_us - int(left_s * S)  # type: ignore[assignment]
+        engine.round()
+        engine.clock = clock
+        assert engine.pool.calls[("m", 0)].until_us == due_us - sooner_us
+        client.socket.close()
+        await run.end()
+        assert len(peer.requests) <= 1
+    engine_play(scene, tmp_path)
