Place the bound of a call's earlier end among the times in the test of all bounds

Cause: net.engine.MOST_SOONER_US came with the calls that end sooner where the loop is late; the test asks for each new bound to be placed. Result: test_bounds.py 19 passed.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -91,6 +91,7 @@
     "net.fleet_books.MOST_PART_BYTES": TEXT,
     "net.fleet_file.MOST_BYTES": TEXT,
     "net.handover.MOST_HOLD_S": NUMBER,
+    "net.engine.MOST_SOONER_US": NUMBER,
     "net.http.MOST_BODY": TEXT,
     "net.http.MOST_HEAD": TEXT,
     "net.http.MOST_LIST": TEXT,
