Keep the decisions as they stand as a plain reference for the queues of held messages

Need: held messages are to be kept in order instead of sorted anew by every event, with every decision as before. What "as before" means must stay readable and runnable when the code has changed. Nothing uses it yet.

--- /dev/null
+++ b/tests/reference/dispatcher.py
@@ -0,0 +1,101 @@
+"""One round of decisions, read top to bottom. Types, events and actions: lemonshunt/interface.py.
+
+The ordinary path: held messages leave by groups of near deadlines, shortest expected call first in each;
+what cannot finish in time is refused unsent; a window that grows with success bounds each destination.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Set
+from random import Random
+from typing import Any
+
+from lemonshunt import interface as i
+from tests.reference import giving, health, learning, memory, order, routes, shares
+from tests.reference.books import Books
+from tests.reference.state import Target
+
+
+class Dispatcher(Books):
+    """Decides for one forwarder. Feed it every event; carry out, in order, the actions it returns.
+
+    Where a decision raises, `actions` holds what was decided until then, and `absorbed` how many events
+    of the round were read, the one at fault included.
+    """
+
+    def __init__(self, settings: i.Settings, seed: int, now: int) -> None:
+        super().__init__(now, Random(seed), settings)
+        if settings.subscribe:
+            self.agenda.add(now, routes.THE_LIST)
+
+    def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
+        """Absorb the events of one round, then decide once."""
+        self.now, self.actions, self.round_calls = now, [], {}
+        self.looks = self.agenda.due(now)
+        self.came_back = []
+        self.absorbed = 0
+        for event in events:
+            self.absorbed += 1
+            self.absorb(event)
+        if routes.THE_LIST in self.looks:
+            self.actions.append(i.Subscribe())
+        self.usual.clear()
+        giving.recall(self)
+        giving.drop(self)
+        order.release(self)
+        for call in self.came_back:
+            if call.gap > self.idle_us > 0 and not call.target.out:
+                self.actions.append(i.CloseIdle(call.target.id))
+        if self.agenda.entries and not now < self.armed <= self.agenda.entries[0][0]:
+            self.armed = self.agenda.entries[0][0]
+            self.actions.append(i.SetTimer(max(1, self.armed - now), "look"))
+        return self.actions
+
+    def absorb(self, event: i.Event) -> None:
+        """Book one event. Of what is not known, or needs no booking, nothing is made."""
+        match event:
+            case i.Arrived():
+                giving.arrived(self, event)
+            case i.Ended():
+                learning.ended(self, event)
+            case i.Recalled():
+                giving.recalled(self, event)
+            case i.OutageRecalled():
+                health.recalled_outage(self, event)
+            case i.Listed():
+                self.listed(event)
+            case i.Detached():
+                routes.detached(self, event.target)
+            case i.Shares():
+                shares.told(self.shares, self.now, event)
+                self.looks.add(event.destination)
+            case i.Attached():
+                routes.attached(self, event.target)
+            case i.Retuned():
+                routes.retuned(self, event.settings)
+            case i.Remembered():
+                memory.remember(self, event.memory)
+            case i.Withdrawn() if event.message in self.messages:
+                giving.over(self, self.messages[event.message])
+            case i.EndOwed():
+                giving.owe(self, event.message, event.key)
+            case i.EndTold():
+                giving.told(self, event.message)
+
+    def listed(self, event: i.Listed) -> None:
+        """Follow the list of targets."""
+        routes.listed(self, event)
+
+    # What the process around it asks; nothing is decided by these.
+
+    def cold(self, t: Target) -> bool:
+        return health.cold(self, t)
+
+    def avoids(self, target: int) -> bool:
+        return health.avoids(self, target)
+
+    def turn(self, t: Target) -> float:
+        return health.turn(self, t)
+
+    def memory(self, out: Set[tuple[str, int]]) -> dict[str, Any]:
+        return memory.memory(self, out)
--- /dev/null
+++ b/tests/reference/limits.py
@@ -0,0 +1,78 @@
+"""How much may go out now: slots, windows, the pace by our share of a limit, and a tenant's share."""
+
+from __future__ import annotations
+
+from tests.reference.books import NEVER, SECOND, Books
+from tests.reference.health import cold, may_join, turn
+from tests.reference.state import Place, Target
+
+HEALTHY_CAP = 0.75  # share of the slots that one destination may hold: the design's three quarters
+SICK_CAP = 0.5  # and while it fails or is slow: the design's half
+SLOW_TIMES = 4  # times its seed: an expected call above this counts as slow
+BURST_US = 700_000  # the pace lets through at once what it earns in this time
+PURSE_US = 2 * SECOND  # a tenant may run ahead of its share by this much
+PURSE_LEAST = 4.0  # messages, and by these at least: our part of a share may be far under one
+
+
+def spend(now: int, spent_until: int, each: float, ahead: float) -> int:
+    """When the next one may go, where each takes its time and what was saved counts some time back."""
+    return int(max(spent_until, now - max(0.0, ahead - each)) + each)
+
+
+def over_share(b: Books, name: str | None) -> bool:
+    """Whether a tenant has spent our part of its share; what goes beyond is worth little."""
+    tenant = b.tenants.get(name or "")
+    if tenant is None or not tenant.allowance_per_s or b.s.over_share_worth >= 1:
+        return False
+    each = SECOND * b.s.balancers / tenant.allowance_per_s
+    spent_until = b.purses.get(tenant.name, -NEVER)
+    if spent_until <= b.now:
+        b.purses[tenant.name] = spend(b.now, spent_until, each, max(PURSE_US, PURSE_LEAST * each))
+    return spent_until > b.now
+
+
+def pace(b: Books, t: Target) -> float:
+    """The time between our calls by which the limit holds for all forwarders together. An even share of a
+    told limit may be one call in a minute: what is left of it tells more, so none lapses for that."""
+    limit, share = t.place.limit or (t.weight if b.s.weights_told else 0.0), t.place.shares
+    if not limit:
+        return 0.0
+    each = SECOND * b.s.balancers / limit / share
+    return min(each, b.least_time / 2 / min(1.0, share)) if t.place.limit else each
+
+
+def paced(b: Books, t: Target) -> None:
+    """Book one call against the pace, or against the share that stands in its place."""
+    if (share := b.shares.get(t.destination)) is not None:
+        share.spend(b.now)
+        return
+    each = pace(b, t) * (1 + b.apart * b.random.uniform(-0.5, 0.5))
+    t.place.pace_at = spend(b.now, t.place.pace_at, each, BURST_US)
+
+
+def cap(b: Books, place: Place) -> float:
+    """The window's top: three quarters of the slots, half while failing or slow, never under one."""
+    sick = place.mean > SLOW_TIMES * place.seed > 0 or any(
+        cold(b, t) and t.place is place for t in b.by_destination.get(place.destination, ()))
+    return max(1.0, (SICK_CAP if sick else HEALTHY_CAP) * b.s.slots)
+
+
+def room_at(b: Books, t: Target) -> int:
+    """The gate's part that is the same for every message: slots, window, pace, rest, turn."""
+    call, place = b.round_calls.get(t.id), t.place
+    joins = call is not None and call.joined < t.batch
+    if call is not None and joins and (not cold(b, t) or may_join(b, t, call.joined)):
+        return b.now
+    here = sum(other.out for other in b.by_destination[t.destination])
+    if not joins and (b.calls_out >= b.s.slots or here >= max(1, int(HEALTHY_CAP * b.s.slots))
+                      or place.out >= int(min(place.window, cap(b, place)))):
+        return NEVER
+    share = b.shares.get(t.destination)
+    paced_at = place.pace_at if share is None else share.room_at(b.now)
+    at = max(place.wait_until, place.rest_until, paced_at)
+    return max(at, t.tried_at + int(t.spread * turn(b, t))) if cold(b, t) else at
+
+
+def has_room(b: Books, destination: int) -> bool:
+    """Whether any message could go to a destination now."""
+    return any(room_at(b, t) <= b.now for t in b.by_destination.get(destination, ()))
--- /dev/null
+++ b/tests/reference/order.py
@@ -0,0 +1,123 @@
+"""Which message goes next and where: the group rule, the one gate, the best target, the send."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterator
+
+from lemonshunt import interface as i
+from tests.reference.books import FORGET_US, LOOK_US, NEVER, Books
+from tests.reference.giving import age, fades_at
+from tests.reference.health import SURE_MARK, drawn, in_outage, weight
+from tests.reference.limits import has_room, paced, room_at
+from tests.reference.state import Attempt, Call, Message, Place, Target
+
+GROUP_RANGE = 0.4  # Gr, share of the least time left: the paper's value; larger was no better
+TIMEOUT_CALLS = 6  # expected calls that an attempt may take, and its class's aim at least
+RETRY_TIMES = 2  # after a time-out the next attempt may take so many times as long: the work may be long
+
+
+def release(b: Books) -> None:
+    """Release once: in the group rule's order, each to the best target whose gate is open."""
+    if b.calls_out < b.s.slots:
+        shut: set[int] = set()  # within a round a destination only closes, and each pile may be long
+        for m in order(b):
+            if m.destination in shut:
+                continue
+            gates = [t for t in b.usable(m) if gate(b, m, t)]
+            if gates:
+                send(b, m, min(gates, key=lambda t: preference(b, m, t)))
+            elif not has_room(b, m.destination):
+                shut.add(m.destination)
+    b.jammed = b.calls_out >= b.s.slots
+    for destination in sorted(b.looks & b.held.piles.keys()):
+        appoint(b, destination)
+
+
+def appoint(b: Books, destination: int) -> None:
+    """When to look again at a destination where messages stay, whatever happens till then."""
+    now, pile = b.now, b.held.piles[destination].values()
+    first_drop = min(b.drop_at(m) for m in pile)
+    opens = min((room_at(b, t) for t in b.by_destination.get(destination, ())), default=NEVER)
+    gives_way = min((at for m in pile for at in (now + m.cls.aim_us / 2 - age(m, now),
+                                                 fades_at(m, b.s.late_halves)) if at > now), default=NEVER)
+    b.agenda.add(max(now + LOOK_US, int(min(first_drop, opens, gives_way)) + 1), destination)
+
+
+def order(b: Books) -> Iterator[Message]:
+    """The group rule: the least time left and all within Gr of it first; in a group the shortest call.
+    Messages that have no open target, and whole destinations of these, are skipped."""
+    looks = sorted(d for d in (b.held.piles if b.jammed else b.looks & b.held.piles.keys())
+                   if has_room(b, d))
+    held = sorted((m.over_share, m.due, m.number, m.destination)
+                  for destination in looks for m in b.held.piles[destination].values())
+    first = 0
+    while first < len(held):
+        beyond, due, *_ = held[first]
+        end = bisect_right(held, (beyond, due + GROUP_RANGE * (due - b.now), b.taken, 0), first)
+        group = [b.held.piles[d][number] for _, _, number, d in held[first:end]]
+        yield from sorted(group, key=lambda m: (b.soonest(m), m.due, m.number))
+        first = end
+
+
+def gate(b: Books, m: Message, t: Target) -> bool:
+    """The one gate that every send passes. Each line keeps a rule or a bound."""
+    if not b.may_repeat(m):
+        return False
+    if m.key is not None:
+        line = b.lines[m.key]
+        rests = b.now < line.rest_until and not m.attempts
+        if line.queue[0] is not m or line.out or line.owed or rests:
+            return False
+    if t.failing > SURE_MARK and m.cls.effect is i.Effect.ONCE:
+        return m.due - b.now < m.cls.deadline_us / 2 and room_at(b, t) <= b.now
+    return room_at(b, t) <= b.now
+
+
+def preference(b: Books, m: Message, t: Target) -> tuple[float, ...]:
+    """Which open target is best: a sound one, a call already forming, a cheap one, a quiet one."""
+    fee = b.s.zone_fees.get(t.zone, 0.0) if t.apart else 0.0
+    return (in_outage(t), t.id == m.avoid, t.id not in b.round_calls, fee, t.failing, t.out,
+            b.random.random())
+
+
+def send(b: Books, m: Message, t: Target) -> None:
+    """Send, and book what it takes."""
+    call = b.round_calls.get(t.id)
+    if call is None or call.joined >= t.batch:
+        call = begin(b, m, t)
+    t.tried_at = b.now
+    call.joined, call.messages = call.joined + 1, call.messages + 1
+    if call.joined > 1:  # what it weighs more is made good by the time until the next
+        t.spread *= weight(call.joined) / weight(call.joined - 1)
+    if m.key is not None:
+        b.lines[m.key].out += 1
+    b.attempts[(m.id, m.attempts)] = Attempt(m, call)
+    m.attempts, m.out = m.attempts + 1, m.out + 1
+    b.held.remove(m)
+    b.usual.clear()
+    b.actions.append(i.Send(m.id, t.id, timeout(b, m, t.place)))
+
+
+def begin(b: Books, m: Message, t: Target) -> Call:
+    """Begin a call: its connection, its slot and its part of the pace."""
+    place, idle = t.place, 0 if t.out or t.idle_at < 0 else b.now - t.idle_at
+    if idle > b.idle_us > 0:
+        b.actions.append(i.CloseIdle(t.id))
+    call = b.round_calls[t.id] = Call(t, b.now, idle, b.now - t.tried_at)
+    t.spread = drawn(b)
+    b.calls_out += 1
+    if b.now - place.mean_at > FORGET_US:
+        place.window = 1.0
+    place.mean = b.expected(place, m.cls)
+    t.out, place.out = t.out + 1, place.out + 1
+    paced(b, t)
+    return call
+
+
+def timeout(b: Books, m: Message, place: Place) -> int:
+    """How long an attempt may take. One after which there is no other is waited for till its end: of a
+    once-only message, or one that outlasts the window in which its key is known."""
+    left = m.due - b.now
+    patience = max(m.cls.aim_us, int(TIMEOUT_CALLS * b.expected(place, m.cls)), RETRY_TIMES * m.waited)
+    return left if b.now + patience >= b.repeat_by(m, b.now) else min(left, patience)
--- /dev/null
+++ b/tests/reference/routes.py
@@ -0,0 +1,97 @@
+"""Which targets there are: by the list, by the operators' word, and by other settings."""
+
+from __future__ import annotations
+
+from lemonshunt import interface as i
+from tests.reference.books import Books
+from tests.reference.health import cold
+from tests.reference.limits import pace
+from tests.reference.state import Target
+
+ASK_LEAST_US, ASK_MOST_US = 200_000, 400_000
+"""Between a call for the list that failed and the next, by chance between both. It does not grow with the
+failures: whatever the number, a change binds 6 s after discovery had it. The sum is in net/discovery.py."""
+THE_LIST = -1  # stands among the destinations' appointments for asking for the list
+MOST_GONE = 200  # targets that have left the list and are remembered still
+
+
+def listed(b: Books, event: i.Listed) -> None:
+    """Follow the list. A drained or gone target gets nothing new from this round on."""
+    if event.kind is i.ListKind.FAILED:
+        b.agenda.add(b.now + b.random.randrange(ASK_LEAST_US, ASK_MOST_US), THE_LIST)
+        return
+    if event.kind is not i.ListKind.CHANGES:
+        for target in b.targets.values():
+            target.serving = False
+    for e in event.entries:
+        known = b.targets.get(e.target)
+        if known is None or known.destination != e.destination:
+            kind = b.kinds.get(e.kind, i.DestinationKind(e.kind))
+            place = b.place(e.destination, e.target, kind.routes_apart)
+            known = b.targets[e.target] = Target(
+                e.target, e.destination, e.zone, e.weight, place, e.kind, kind.batch, kind.routes_apart)
+        known.zone, known.weight, known.serving = e.zone, e.weight, e.state is i.TargetState.SERVING
+    gone = [t for t in b.targets.values() if not (t.serving or t.out or t.id in b.detached)]
+    for t in gone[:max(0, len(gone) - MOST_GONE)]:  # replaced targets must not pile up over months
+        del b.targets[t.id]
+        if t.apart:
+            b.places.pop((t.destination, t.id), None)
+    sort_targets(b)
+
+
+def sort_targets(b: Books) -> None:
+    """Only those that serve by the list and by the operators' word get anything."""
+    b.by_destination = {}
+    for target in b.targets.values():
+        if target.serving and target.id not in b.detached:
+            b.by_destination.setdefault(target.destination, []).append(target)
+    b.looks.update(b.held.piles)
+
+
+def detached(b: Books, target: int) -> None:
+    b.detached.add(target)
+    sort_targets(b)
+
+
+def attached(b: Books, target: int) -> None:
+    """Back from a restart: nothing of before holds, and a route's window grows from one call. Turns start
+    slowly only where it was seen in an outage before (rule 4)."""
+    if target not in b.detached:
+        return
+    b.detached.discard(target)
+    sort_targets(b)
+    t = b.targets.get(target)
+    if t is None:
+        return
+    if cold(b, t):
+        t.back_at = t.tried_at = b.now
+    else:
+        t.outage_at = t.back_at = -1
+    b.actions.append(i.Outage(t.id, t.outage_at, t.back_at))
+    t.failing, t.idle_at = 0.0, -1
+    t.spread = b.random.random() if cold(b, t) else 1.0  # it comes back to all forwarders at once
+    if t.apart:
+        t.place.window, t.place.mean, t.place.mean_at, t.place.rest = 1.0, 0.0, -1, 0
+
+
+def retuned(b: Books, settings: i.Settings) -> None:
+    """Other settings hold. What was worked out by those before binds no more; what a target told does."""
+    old = b.s
+    b.adopt(settings)
+    b.idle_us = min(b.idle_us, b.idle_top) if old.conn_idle_us else b.idle_top
+    if (settings.tenants, settings.balancers) != (old.tenants, old.balancers):
+        b.purses.clear()
+    for t in b.targets.values():
+        kind = b.kinds.get(t.kind, i.DestinationKind(t.kind))
+        t.batch = kind.batch
+        if t.apart is not kind.routes_apart:
+            t.apart = kind.routes_apart
+            t.place.out -= t.out
+            place = b.place(t.destination, t.id, t.apart)
+            place.out += t.out
+            place.wait_until = max(place.wait_until, t.place.wait_until)
+            t.place = place
+        if (settings.balancers, settings.weights_told) != (old.balancers, old.weights_told):
+            t.place.shares = min(t.place.shares, float(settings.balancers))
+            t.place.pace_at = min(t.place.pace_at, b.now + int(pace(b, t)))
+    b.looks.update(b.held.piles)
