Keep held messages in queues by deadline, with every decision as before

Cause: every event on a destination visited and sorted its whole pile (giving.drop, order.order, order.appoint), a jam that of all destinations, a removal from a key's line went through the line, and all lines were swept each second. Keyed lanes have a second queue of those whose turn it is. Times at which rests end, repeats expire and empty lines can go are heaps. A jam visits the destinations that have room but for slots. Calls out are known by target, and only calls that others passed are looked at for a recall. The largest pile is still looked for over all destinations while the buffer is nearly full. `Books.visited` counts what is looked at. A group of messages whose time is over takes those due at once (the former loop did not end there; no drawn world reaches it).

--- a/lemonshunt/choice/books.py
+++ b/lemonshunt/choice/books.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from random import Random
 
 from lemonshunt import interface as i
 from lemonshunt.choice.shares import Share
-from lemonshunt.state import Agenda, Attempt, Call, Held, Line, Message, Place, Target
+from lemonshunt.state import Agenda, Attempt, Call, Held, Lane, LaneKey, Line, Message, Place, Target, Wakes
 
 SECOND = 1_000_000  # us
 NEVER = 1 << 62  # us; a gate that only an event can open
+KEEP_LEAST = 0.7  # share of its time; in a large fleet what was taken on and handed back sooner is priced
+LATE_LEAST = 0.6  # where fresh ones near their aims, one in their pile with less worth left is given up
 FORGET_US = 30 * SECOND  # idle destinations are forgotten after this
 LOOK_US = 40_000  # least time between two looks at a destination where nothing happened
 FEW = 8  # forwarders; where more share the targets, what all do at once adds up: connections, returns
@@ -54,16 +57,39 @@
     purses: dict[str, int] = field(default_factory=dict)
     shares: dict[int, Share] = field(default_factory=dict)
     """By destination, where one was told."""
-    taken: int = 0
+    counted: int = 0
+    """Messages taken on and put back; gives their numbers and positions."""
+    newest: int = 0
+    """The number of the message taken on last."""
+    fresh: list[Message] = field(default_factory=list)
+    """Those taken at this time."""
+    shared: dict[i.MessageClass, i.MessageClass] = field(default_factory=dict)
+    """Of equal classes one stands for all."""
     cleared_at: int = field(init=False)
     shed_at: int = field(init=False)
     # The calls
     calls_out: int = 0
     idle_us: int = field(init=False)
     """How long an idle connection is trusted."""
+    sends: int = 0
+    overtaken: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    """Attempts out by calls that later ones have passed."""
     jammed: bool = False
+    may_open: set[int] = field(default_factory=set)
+    """All destinations with room for a call, slots aside, and perhaps others."""
+    openings: Agenda = field(default_factory=Agenda)
+    """When those that are shut by a time may open."""
     agenda: Agenda = field(default_factory=Agenda)
     armed: int = -1
+    # What the time alone changes; an entry may have become void
+    expiring: Wakes = field(default_factory=Wakes)
+    """After when a held message may not be repeated."""
+    resting: Wakes = field(default_factory=Wakes)
+    """When the rest of a key is over."""
+    over_lines: Wakes = field(default_factory=Wakes)
+    """From when a key with an empty line can be forgotten."""
+    visited: int = 0
+    """Held messages, lanes, destinations and entries looked at until now: what the work is measured by."""
     # The round
     absorbed: int = 0
     actions: list[i.Action] = field(default_factory=list)
@@ -71,6 +97,8 @@
     """The destinations to look at."""
     came_back: list[Call] = field(default_factory=list)
     round_calls: dict[int, Call] = field(default_factory=dict)
+    called: set[int] = field(default_factory=set)
+    """The destinations of `round_calls`."""
     usual: dict[tuple[int, int], float] = field(default_factory=dict)
     """What `soonest` worked out; holds until the next event or send."""
 
@@ -82,7 +110,7 @@
     def adopt(self, settings: i.Settings) -> None:
         """Settings and all that follows from them. What a message was taken on under stays with it."""
         self.s = settings
-        self.classes = {c.name: c for c in settings.classes}
+        self.classes = {c.name: self.shared.setdefault(c, c) for c in settings.classes}
         self.least_time = min((c.deadline_us for c in settings.classes), default=SECOND)
         self.room = 1 + SHARE_ROOM / settings.balancers
         self.apart = max(0.0, 1 - SHARE_ROOM / settings.balancers)
@@ -140,3 +168,14 @@
     def drop_at(self, m: Message) -> int:
         """When the message's time left falls below its shortest expected call."""
         return m.due - max(int(self.soonest(m)), LOOK_US)
+
+    def new_lane(self, m: Message, key: LaneKey) -> Lane:
+        kept_us = int((1 - KEEP_LEAST) * m.cls.deadline_us) if key.kept else None
+        return Lane(m.destination, m.cls, key, self.fades_after(m.cls), kept_us)
+
+    def fades_after(self, cls: i.MessageClass) -> float:
+        """How long after its time began less than `LATE_LEAST` of a message's worth is left."""
+        if self.s.late_halves:
+            return cls.aim_us * (1 - math.log2(LATE_LEAST))
+        most = cls.deadline_us - cls.aim_us
+        return cls.aim_us + most * (1 - LATE_LEAST) / max(1e-9, 1 - cls.late_worth)
--- a/lemonshunt/choice/dispatcher.py
+++ b/lemonshunt/choice/dispatcher.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from lemonshunt import interface as i
-from lemonshunt.choice import giving, health, learning, memory, order, routes, shares
+from lemonshunt.choice import giving, health, learning, memory, order, queues, routes, shares
 from lemonshunt.choice.books import Books
 from lemonshunt.state import Target
 
@@ -30,7 +30,9 @@
 
     def handle(self, now: int, events: Iterable[i.Event]) -> list[i.Action]:
         """Absorb the events of one round, then decide once."""
-        self.now, self.actions, self.round_calls = now, [], {}
+        if now != self.now:
+            self.fresh = []
+        self.now, self.actions, self.round_calls, self.called = now, [], {}, set()
         self.looks = self.agenda.due(now)
         self.came_back = []
         self.absorbed = 0
@@ -40,6 +42,7 @@
         if routes.THE_LIST in self.looks:
             self.actions.append(i.Subscribe())
         self.usual.clear()
+        queues.advance(self)
         giving.recall(self)
         giving.drop(self)
         order.release(self)
--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import math
+from collections.abc import Iterator
 
 from lemonshunt import interface as i
+from lemonshunt.choice import queues
 from lemonshunt.choice.books import FEW, FORGET_US, NEVER, SECOND, Books
 from lemonshunt.choice.limits import over_share
-from lemonshunt.state import Line, Message
+from lemonshunt.state import Call, Lane, Line, Message, Pile
 
 STALL_CALLS = 8  # usual calls after which one is held to be lost where some later ones have been delivered
 STALL_US = 600_000  # and this at least
 PASSED = 3  # so many later ones: a single one may just have been quick
 LEAST_AWAY_US = SECOND  # a refused client always hears when to come back, and not at once
 BUFFER_MARK = 0.85  # share of the buffer above which the largest pile is cut
-KEEP_LEAST = 0.7  # share of its time; in a large fleet what was taken on and handed back sooner is priced
-LATE_LEAST = 0.6  # where fresh ones near their aims, one in their pile with less worth left is given up
 
 
 def arrived(b: Books, event: i.Arrived) -> None:
@@ -24,7 +23,7 @@
     if cls is None:
         b.actions.append(i.Fail(event.message, "unknown class"))
         return
-    take(b, event, cls)
+    hold(b, taken(b, event, cls))
 
 
 def recalled(b: Books, event: i.Recalled) -> None:
@@ -33,59 +32,70 @@
     if cls is None:
         b.actions.append(i.Fail(event.message, "unknown class"))
         return
-    m = take(b, event, cls)
+    m = taken(b, event, b.shared.setdefault(cls, cls))
     m.attempts, m.ran_at, m.ran_on = event.attempts, event.ran_at_us, event.ran_on
     m.most = event.most_attempts or m.most
     m.before = True
     if m.key is not None and event.cut_off:
-        b.lines[m.key].rest_until = b.now + b.s.key_rest_us
+        b.lines.setdefault(m.key, Line()).rest_until = b.now + b.s.key_rest_us
+    hold(b, m)
 
 
-def take(b: Books, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
-    b.taken += 1
+def taken(b: Books, event: i.Arrived | i.Recalled, cls: i.MessageClass) -> Message:
+    b.counted += 1
+    b.newest = b.counted
     key = event.key if cls.in_order else None
     # What was held before a start came over a while: all at once it would be far beyond any tenant's share.
     beyond = isinstance(event, i.Arrived) and over_share(b, event.tenant)
-    m = Message(event.message, event.destination, cls, event.due_us, b.now, b.taken, key, beyond,
-                b.s.max_attempts)
-    if b.s.balancers > FEW:
-        m.keep_until = m.due - int((1 - KEEP_LEAST) * cls.deadline_us)
+    m = Message(event.message, event.destination, cls, event.due_us, b.newest, key, beyond, b.s.max_attempts)
+    m.kept = b.s.balancers > FEW
+    m.position = b.newest
+    return m
+
+
+def hold(b: Books, m: Message) -> None:
+    """A message that was taken on waits from now on, behind those of its key."""
     b.messages[m.id] = m
-    b.held.add(m)
     b.looks.add(m.destination)
-    if key is not None:
-        b.lines.setdefault(key, Line()).queue.append(m)
-    return m
+    b.fresh.append(m)
+    if m.key is not None:
+        b.lines.setdefault(m.key, Line()).queue[m.number] = m
+    queues.hold(b, m)
 
 
 def over(b: Books, m: Message) -> None:
     """A message has ended: nothing more goes out for it, and its key turns to the next."""
     del b.messages[m.id]
-    b.held.remove(m)
+    queues.remove(b, m)
     if m.key is not None:
-        b.lines[m.key].queue.remove(m)
-        next_in(b, b.lines[m.key])
+        del b.lines[m.key].queue[m.number]
+        next_in(b, m.key)
 
 
-def next_in(b: Books, line: Line) -> None:
+def next_in(b: Books, key: str) -> None:
     """The key's turn may have come to its next message, perhaps for another destination."""
+    line = b.lines[key]
+    queues.offer(b, key)
     if line.queue and not line.out and not line.owed:
-        b.looks.add(line.queue[0].destination)
-        b.agenda.add(max(b.now, line.rest_until), line.queue[0].destination)
+        destination = line.head().destination
+        b.looks.add(destination)
+        b.agenda.add(max(b.now, line.rest_until), destination)
 
 
 def owe(b: Books, name: str, key: str) -> None:
     """Rule 6: until its final answer has arrived, a message is not over for those behind it."""
+    line = b.lines.setdefault(key, Line())
+    line.owed += b.owed.get(name) != key
     b.owed[name] = key
-    b.lines.setdefault(key, Line()).owed.add(name)
+    queues.offer(b, key)
 
 
 def told(b: Books, name: str) -> None:
     """The final answer has arrived."""
     if name in b.owed:
-        line = b.lines[b.owed.pop(name)]
-        line.owed.discard(name)
-        next_in(b, line)
+        key = b.owed.pop(name)
+        b.lines[key].owed -= 1
+        next_in(b, key)
 
 
 def answer(b: Books, m: Message, cause: str) -> None:
@@ -120,11 +130,11 @@
     """A call that stays silent while later ones to the same target are answered has lost its connection,
     and not its target: its messages need not wait for the time-out, and it says nothing of health. Those
     that may not be sent again fail by this, so their aim must have passed as well."""
-    if not b.s.may_cancel:
+    if not (b.s.may_cancel and b.overtaken):
         return
-    for (name, number), attempt in b.attempts.items():
+    for (name, number), attempt in sorted(b.overtaken.items(), key=lambda item: item[1].number):
         m, call = attempt.message, attempt.call
-        if call.passed >= PASSED and not attempt.recalled:
+        if not attempt.recalled:
             usual = STALL_CALLS * b.expected(call.target.place, m.cls)
             least = m.cls.aim_us if b.now >= b.repeat_by(m, call.sent_at) else STALL_US
             if b.now - call.sent_at > max(least, usual):
@@ -132,24 +142,30 @@
                 attempt.recalled = True
 
 
+def passed(b: Books, call: Call) -> None:
+    """A call that enough later ones have passed is looked at in each round."""
+    if call.passed >= PASSED:
+        b.overtaken.update((named, b.attempts[named]) for named in call.attempts if named in b.attempts)
+
+
 def drop(b: Books) -> None:
     """The unsent drop: a held message whose time left is below its expected call is answered now. In a
     pile that moves too slowly for its fresh ones it gives way to them before: else all end late."""
     if b.now - b.cleared_at >= SECOND:
         b.cleared_at = b.now
-        b.lines = {k: n for k, n in b.lines.items()
-                   if n.queue or n.out or n.owed or n.rest_until > b.now}
-    for destination in sorted(b.looks):
-        pile = list(b.held.piles.get(destination, {}).values())
+        queues.forget_lines(b)
+    for destination in sorted(b.looks & b.held.piles.keys()):
+        pile = b.held.piles[destination]
         opens = next_call(b, destination)
         opens = b.now if opens >= NEVER else opens
-        jam = any(m.cls.aim_us / 2 < age(m, b.now) <= m.cls.aim_us for m in pile)
-        for m in pile:
+        jam = is_jammed(b, pile)
+        leaving = [m for lane in pile.lanes.values() for m in front(b, lane, opens, jam)]
+        for m in sorted(leaving, key=lambda m: m.position):
             if not b.may_repeat(m):
                 answer(b, m, "may not be sent again")
             elif opens >= b.drop_at(m):
                 answer(b, m, "no call could end in time" if b.now >= b.drop_at(m) else "no share in time")
-            elif jam and b.now > fades_at(m, b.s.late_halves):
+            else:
                 answer(b, m, "makes way for fresh ones")
     if len(b.messages) > BUFFER_MARK * b.s.max_open and b.held.piles:
         shed(b)
@@ -160,24 +176,30 @@
     return m.cls.deadline_us - (m.due - now)
 
 
-def fades_at(m: Message, late_halves: bool) -> float:
-    """When less than `LATE_LEAST` of its worth is left, and it may be given up for that. What a start found
-    untried lost its time to the restart: it has its first call before."""
-    if m.before and not m.attempts:
-        return m.due
-    aim, most = m.cls.aim_us, m.cls.deadline_us - m.cls.aim_us
-    if late_halves:
-        after = aim * (1 - math.log2(LATE_LEAST))
-    else:
-        after = aim + most * (1 - LATE_LEAST) / max(1e-9, 1 - m.cls.late_worth)
-    return max(m.due - m.cls.deadline_us + after, m.keep_until if m.ran_at < 0 else 0)
+def is_jammed(b: Books, pile: Pile) -> bool:
+    """Whether a message has waited for more than half of its aim, and not yet for all of it, where there are
+    any that may give way."""
+    b.visited += len(pile.lanes)
+    if not any(b.now > lane.fades_at(lane.held.head().due) for lane in pile.lanes.values()):
+        return False
+    youngest = ((lane, lane.first_younger(b.now, lane.cls.aim_us)) for lane in pile.lanes.values())
+    return any(m is not None and lane.cls.aim_us / 2 < age(m, b.now) for lane, m in youngest)
+
+
+def front(b: Books, lane: Lane, opens: int, jam: bool) -> Iterator[Message]:
+    """The messages of a lane that are given up now."""
+    for m in lane.held:
+        b.visited += 1
+        if opens < b.drop_at(m) and not (jam and b.now > lane.fades_at(m.due)) and not lane.key.spent:
+            return
+        yield m
 
 
 def shed(b: Books) -> None:
     """One jammed destination must not fill the buffer: of the largest pile, what came in this round is turned
     away at the door. What was taken on stays: its client would hear of its end only by a notice."""
     worst = max(b.held.piles, key=lambda d: (len(b.held.piles[d]), d))
-    pile = [m for m in b.held.piles[worst].values() if m.arrived == b.now and not m.before]
+    pile = [m for m in b.fresh if m.lane is not None and m.destination == worst and not m.before]
     pile.sort(key=lambda m: (m.over_share, m.due, m.number))
     if pile and b.now - b.shed_at >= FORGET_US:
         b.shed_at = b.now
--- a/lemonshunt/choice/health.py
+++ b/lemonshunt/choice/health.py
@@ -149,3 +149,4 @@
     if t is not None:
         t.outage_at, t.back_at = event.since_us, event.back_us
         t.failing, t.tried_at, t.spread = SURE_MARK, b.now, b.random.random()
+        b.may_open.add(t.destination)
--- a/lemonshunt/choice/learning.py
+++ b/lemonshunt/choice/learning.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from lemonshunt import interface as i
+from lemonshunt.choice import queues
 from lemonshunt.choice.books import AIM_PER_CALL, EASE_US, FEW, IDLE_LEAST_US, Books
-from lemonshunt.choice.giving import next_in, over
+from lemonshunt.choice.giving import next_in, over, passed
 from lemonshunt.choice.health import FAIL_MARK, watch_outage
 from lemonshunt.choice.limits import cap, pace
 from lemonshunt.interface import Outcome
@@ -30,11 +31,13 @@
     attempt = b.attempts.pop((event.message, event.attempt), None)
     if attempt is None:
         return
+    b.overtaken.pop((event.message, event.attempt), None)
     m, call, target = attempt.message, attempt.call, attempt.call.target
     call.messages -= 1
     b.looks.add(target.destination)
     if not call.messages:
         b.calls_out -= 1
+        target.calls.remove(call)
         target.out, target.place.out = target.out - 1, target.place.out - 1
         target.idle_at = b.now
         b.came_back.append(call)
@@ -44,7 +47,7 @@
         line.out -= 1
         if event.outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELED):
             line.rest_until = max(line.rest_until, b.now + b.s.key_rest_us)
-        next_in(b, line)
+        next_in(b, m.key)
     if event.outcome is Outcome.TIMED_OUT:
         m.waited = event.took_us
     if event.outcome not in i.NEVER_RAN and m.ran_at < 0:
@@ -57,7 +60,7 @@
         over(b, m)
     elif m.id in b.messages:
         m.avoid = target.id
-        b.held.add(m)
+        queues.put_back(b, m)
 
 
 def told(b: Books, call: Call, event: i.Ended) -> None:
@@ -117,8 +120,10 @@
 def delivered(b: Books, call: Call) -> None:
     """A success: the window and the share grow, and calls sent before it have been passed."""
     place = call.target.place
-    for other in {id(a.call): a.call for a in b.attempts.values()}.values():
-        other.passed += other.target is call.target and other.sent_at < call.sent_at
+    for other in call.target.calls:
+        if other.sent_at < call.sent_at:
+            other.passed += 1
+            passed(b, other)
     b.idle_us = min(b.idle_top, b.idle_us + b.idle_us // IDLE_GROW)
     place.window, place.rest = min(place.window + 1, cap(b, place)), 0
     if place.left > MUCH_LEFT:
--- a/lemonshunt/choice/limits.py
+++ b/lemonshunt/choice/limits.py
@@ -4,7 +4,7 @@
 
 from lemonshunt.choice.books import NEVER, SECOND, Books
 from lemonshunt.choice.health import cold, may_join, turn
-from lemonshunt.state import Place, Target
+from lemonshunt.state import Call, Place, Target
 
 HEALTHY_CAP = 0.75  # share of the slots that one destination may hold: the design's three quarters
 SICK_CAP = 0.5  # and while it fails or is slow: the design's half
@@ -59,12 +59,16 @@
 
 def room_at(b: Books, t: Target) -> int:
     """The gate's part that is the same for every message: slots, window, pace, rest, turn."""
-    call, place = b.round_calls.get(t.id), t.place
-    joins = call is not None and call.joined < t.batch
+    return room_in(b, t, b.round_calls.get(t.id), b.calls_out < b.s.slots)
+
+
+def room_in(b: Books, t: Target, call: Call | None, slots_left: bool) -> int:
+    """When a target has room, given the call to it that begins in this round and whether slots are left."""
+    place, joins = t.place, call is not None and call.joined < t.batch
     if call is not None and joins and (not cold(b, t) or may_join(b, t, call.joined)):
         return b.now
     here = sum(other.out for other in b.by_destination[t.destination])
-    if not joins and (b.calls_out >= b.s.slots or here >= max(1, int(HEALTHY_CAP * b.s.slots))
+    if not joins and (not slots_left or here >= max(1, int(HEALTHY_CAP * b.s.slots))
                       or place.out >= int(min(place.window, cap(b, place)))):
         return NEVER
     share = b.shares.get(t.destination)
@@ -73,6 +77,17 @@
     return max(at, t.tried_at + int(t.spread * turn(b, t))) if cold(b, t) else at
 
 
+def opens_at(b: Books, destination: int) -> int:
+    """No later than when a call to a destination could begin, slots aside: NEVER where that takes an event
+    there. While a target warms, what it takes changes all the time."""
+    targets = b.by_destination.get(destination, ())
+    if any(t.back_at >= 0 and cold(b, t) for t in targets):
+        return b.now
+    if b.calls_out < b.s.slots and destination not in b.called:
+        return min((room_at(b, t) for t in targets), default=NEVER)
+    return min((room_in(b, t, None, True) for t in targets), default=NEVER)
+
+
 def has_room(b: Books, destination: int) -> bool:
     """Whether any message could go to a destination now."""
     return any(room_at(b, t) <= b.now for t in b.by_destination.get(destination, ()))
--- a/lemonshunt/choice/memory.py
+++ b/lemonshunt/choice/memory.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from lemonshunt import interface as i
+from lemonshunt.choice import queues
 from lemonshunt.choice.books import Books
-from lemonshunt.choice.giving import next_in
+from lemonshunt.choice.giving import next_in, passed
 from lemonshunt.state import (
     CALL_KEPT,
     MESSAGE_KEPT,
@@ -59,14 +60,17 @@
     for name, known in told.get("messages", []):
         if name in b.messages:
             learn(b.messages[name], known, MESSAGE_KEPT)
+            if b.messages[name].lane is not None:
+                queues.hold(b, b.messages[name])
     for key, rest_until in told.get("lines", []):
         line = b.lines.setdefault(key, Line())
         line.rest_until = max(line.rest_until, rest_until)
-        next_in(b, line)
+        next_in(b, key)
     for number, known, names in told.get("calls", []):
         still_out(b, number, known, [(name, n) for name, n in names if name in b.messages])
     b.purses.update(told.get("purses", {}))
     b.idle_us = min(b.idle_top, told.get("idle_us", b.idle_us))
+    b.may_open.update(b.held.piles)
 
 
 def still_out(b: Books, number: int, known: Mapping[str, Any], names: list[tuple[str, int]]) -> None:
@@ -78,10 +82,15 @@
     learn(call, known, CALL_KEPT)
     b.calls_out += 1
     target.out, target.place.out = target.out + 1, target.place.out + 1
+    target.calls.append(call)
     for named in names:
         m = b.messages[named[0]]
         call.messages, m.out = call.messages + 1, m.out + 1
-        b.held.remove(m)
-        b.attempts[named] = Attempt(m, call)
+        queues.remove(b, m)
+        b.sends += 1
+        b.attempts[named] = Attempt(m, call, b.sends)
+        call.attempts.append(named)
         if m.key is not None:
             b.lines[m.key].out += 1
+            queues.offer(b, m.key)
+    passed(b, call)
--- a/lemonshunt/choice/routes.py
+++ b/lemonshunt/choice/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lemonshunt import interface as i
+from lemonshunt.choice import queues
 from lemonshunt.choice.books import Books
 from lemonshunt.choice.health import cold
 from lemonshunt.choice.limits import pace
@@ -94,4 +95,5 @@
         if (settings.balancers, settings.weights_told) != (old.balancers, old.weights_told):
             t.place.shares = min(t.place.shares, float(settings.balancers))
             t.place.pace_at = min(t.place.pace_at, b.now + int(pace(b, t)))
+    queues.retune(b, old)
     b.looks.update(b.held.piles)
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Iterable, Mapping
+from bisect import bisect_left
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from typing import Any
+from typing import Any, NamedTuple
+
+from sortedcontainers import SortedList  # type: ignore[import-untyped]
 
 from lemonshunt.interface import MessageClass
 
@@ -17,6 +20,9 @@
 MESSAGE_KEPT = ("over_share", "waited", "avoid")
 CALL_KEPT = ("sent_at", "idle", "gap", "joined", "judged", "passed")
 
+MOST_SPARE = 2_000
+"""Empty piles that are kept to be filled again."""
+
 
 def kept(record: object, names: Iterable[str]) -> dict[str, Any]:
     return {name: getattr(record, name) for name in names}
@@ -29,13 +35,26 @@
 
 
 @dataclass(slots=True)
+class Deadline:
+    """A place in the order by deadline, to look there: before or after a message, or between two."""
+
+    due: float
+    number: int
+
+    def __lt__(self, other: Deadline | Message) -> bool:
+        return self.due < other.due or (self.due == other.due and self.number < other.number)
+
+
+@dataclass(slots=True, eq=False)
 class Message:
+    """Sorts by deadline, and among equal ones by the number under which it was taken."""
+
     id: str
     destination: int
     cls: MessageClass
     due: int
-    arrived: int
     number: int
+    """Counts all that were taken on, and all that were put back, since the start."""
     key: str | None
     over_share: bool
     most: int
@@ -50,10 +69,17 @@
     """How long the attempt that timed out last was waited for."""
     avoid: int = -1
     """The target that last failed it."""
-    keep_until: int = 0
-    """While it has surely not run, it does not give way to fresher ones before."""
+    kept: bool = False
+    """While it has surely not run, it does not give way to fresher ones before a part of its time."""
     before: bool = False
     """A process before took it on."""
+    position: int = 0
+    """Among the held of its destination: one that is put back goes behind all."""
+    lane: Lane | None = None
+    """Where it is held."""
+
+    def __lt__(self, other: Deadline | Message) -> bool:
+        return self.due < other.due or (self.due == other.due and self.number < other.number)
 
 
 @dataclass(slots=True)
@@ -85,6 +111,8 @@
     """When a call to it last succeeded."""
     spread: float = 1.0
     """How many turns after the last call the next may go while it is cold."""
+    calls: list[Call] = field(default_factory=list)
+    """Those out."""
 
 
 @dataclass(slots=True)
@@ -113,7 +141,7 @@
     """When our share of its limit has room for the next call."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Call:
     """One call out: messages released in one round to one target."""
 
@@ -129,40 +157,215 @@
     judged: bool = False
     passed: int = 0
     """How many calls to the same target that were sent later have been delivered."""
+    attempts: list[tuple[str, int]] = field(default_factory=list)
+    """All that it was begun with: message and number of the attempt."""
 
 
 @dataclass(slots=True)
 class Attempt:
     message: Message
     call: Call
+    number: int
+    """Counts all attempts in the order of their sends."""
     recalled: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Line:
     """The messages of one key, in the order they were taken, and what still blocks the key."""
 
-    queue: deque[Message] = field(default_factory=deque)
+    queue: OrderedDict[int, Message] = field(default_factory=OrderedDict)
+    """By the number under which they were taken."""
     out: int = 0
     rest_until: int = 0
-    owed: set[str] = field(default_factory=set)
-    """Those with a final answer that is still on its way."""
+    owed: int = 0
+    """How many have a final answer that is still on its way."""
+    offered: Message | None = None
+    """The head, while nothing but its destination keeps it from going."""
+    wakes_at: int = -1
+    """The end of the rest that is waited for; -1 where none is."""
+
+    def head(self) -> Message:
+        """The next message; there must be one."""
+        return next(iter(self.queue.values()))
+
+    def in_use(self, now: int) -> bool:
+        return bool(self.queue or self.out or self.owed or self.rest_until > now)
+
+    def withdraw(self) -> None:
+        """Nothing of it may go for now."""
+        if self.offered is not None and self.offered.lane is not None:
+            self.offered.lane.ready.remove(self.offered)
+        self.offered = None
+
+    def offer(self, head: Message | None) -> None:
+        """Its head may go, as far as the key is concerned; None where something blocks the key."""
+        if head is not self.offered:
+            self.withdraw()
+            if head is not None and head.lane is not None:
+                head.lane.ready.add(head)
+                self.offered = head
+
+
+class MessageQueue(SortedList):  # type: ignore[misc]
+    """Messages by deadline. Adding, removing and looking up take time logarithmic in their number."""
+
+    def head(self) -> Message:
+        """The first; there must be one."""
+        m: Message = self[0]
+        return m
+
+    def first(self) -> Message | None:
+        return self[0] if self else None
+
+    def first_from(self, place: Deadline | Message) -> Message | None:
+        """The first that does not come before a place."""
+        first = self.first()
+        if first is None or not first < place:
+            return first
+        return next(self.irange(place), None)
+
+    def first_after(self, place: Deadline | Message) -> Message | None:
+        """The first that comes behind a place."""
+        first = self.first()
+        if first is None or place < first:
+            return first
+        return next(self.irange(place, inclusive=(False, True)), None)
+
+
+class LaneKey(NamedTuple):
+    """What the messages of one lane have in common."""
+
+    class_id: int
+    """The identity of the class object: a lane keeps it alive."""
+    over_share: bool
+    ran_on: int
+    """The target whose scope their keys are bound to; -1 where they may go to any."""
+    untried: bool
+    """A process before took them on, and they have had no attempt."""
+    kept: bool
+    """They do not give way before a part of their time."""
+    keyed: bool
+    spent: bool
+    """They may not be sent again."""
+
+
+@dataclass(slots=True, eq=False)
+class Lane:
+    """Held messages of one destination for which every rule gives the same figure, up to their deadline."""
+
+    destination: int
+    cls: MessageClass
+    key: LaneKey
+    fades_after_us: float
+    """From when its time began until a message has lost so much of its worth that it may give way."""
+    kept_us: int | None
+    """It does not give way until so long before its deadline; None where that does not bind."""
+    held: MessageQueue = field(default_factory=MessageQueue)
+    ready: MessageQueue = field(init=False)
+    """Those whose turn it is; the same queue as `held` where messages wait for no others."""
+
+    def __post_init__(self) -> None:
+        self.ready = MessageQueue() if self.key.keyed or self.key.spent else self.held
+
+    def fades_at(self, due: int) -> float:
+        """When a message of a given deadline may give way. It never does before its deadline if untried."""
+        if self.key.untried:
+            return due
+        kept_until = 0 if self.kept_us is None else due - self.kept_us
+        return max(due - self.cls.deadline_us + self.fades_after_us, kept_until)
+
+    def next_ready(self, starts: Sequence[Deadline | Message], ends: Sequence[Deadline]) -> Message | None:
+        """The first ready message behind one place and not behind another: each is given for destinations up
+        to 0 and for those above."""
+        m = self.ready.first_after(starts[self.destination > 0])
+        return None if m is None or ends[self.destination > 0] < m else m
+
+    def first_younger(self, now: int, age_us: int) -> Message | None:
+        """The first message of whose time at most so much has passed."""
+        return self.held.first_from(Deadline(now + self.cls.deadline_us - age_us, -1))
+
+    def first_fresh(self, now: int) -> Message | None:
+        """The first message that may not give way yet. There must be messages."""
+        first, last = self.held[0], self.held[-1]
+        if self.fades_at(first.due) > now:
+            return self.held.head()
+        dues = range(first.due, last.due + 1)
+        due = first.due + bisect_left(dues, True, key=lambda due: self.fades_at(due) > now)
+        return self.held.first_from(Deadline(due, -1))
+
+
+@dataclass(slots=True, eq=False)
+class Pile:
+    """The held messages of one destination."""
+
+    lanes: dict[LaneKey, Lane] = field(default_factory=dict)
+    size: int = 0
+
+    def __len__(self) -> int:
+        return self.size
+
+    def values(self) -> Iterator[Message]:
+        """All messages, by lane and in each by deadline."""
+        for lane in self.lanes.values():
+            yield from lane.held
 
 
 @dataclass(slots=True)
 class Held:
-    """The messages held, by destination and the number under which they were taken."""
+    """The messages held, by destination. Neither empty piles nor empty lanes stay."""
+
+    piles: dict[int, Pile] = field(default_factory=dict)
+    spare: dict[int, Pile] = field(default_factory=dict)
+    """Piles that are empty, with the lane that was last: most that are served at once are filled again."""
+
+    def add(self, m: Message, key: LaneKey, make: Callable[[Message, LaneKey], Lane]) -> None:
+        """Hold a message in the lane of a key; where there is none, one is made."""
+        pile = self.piles.get(m.destination)
+        if pile is None:
+            pile = self.spare.pop(m.destination, None)
+            if pile is None or key not in pile.lanes:
+                pile = Pile()
+            self.piles[m.destination] = pile
+        lane = pile.lanes.get(key)
+        if lane is None:
+            lane = pile.lanes[key] = make(m, key)
+        pile.size += 1
+        lane.held.add(m)
+        m.lane = lane
 
-    piles: dict[int, dict[int, Message]] = field(default_factory=dict)
+    def remove(self, m: Message) -> None:
+        """Take a message out of its lane, if it is held. It is not offered by its line any more."""
+        lane = m.lane
+        if lane is None:
+            return
+        lane.held.remove(m)
+        m.lane = None
+        pile = self.piles[lane.destination]
+        pile.size -= 1
+        if not pile.size:
+            del self.piles[lane.destination]
+            if len(self.spare) < MOST_SPARE:
+                self.spare[lane.destination] = pile
+        elif not lane.held:
+            del pile.lanes[lane.key]
 
-    def add(self, m: Message) -> None:
-        self.piles.setdefault(m.destination, {})[m.number] = m
 
-    def remove(self, m: Message) -> None:
-        pile = self.piles.get(m.destination, {})
-        pile.pop(m.number, None)
-        if not pile:
-            self.piles.pop(m.destination, None)
+@dataclass(slots=True)
+class Wakes:
+    """Names, each with a time at which to look at it, earliest first. One may stand there several times."""
+
+    entries: list[tuple[int, str]] = field(default_factory=list)
+
+    def add(self, at: int, name: str) -> None:
+        heappush(self.entries, (at, name))
+
+    def due(self, now: int) -> list[str]:
+        """Take off the names whose time has come."""
+        found: list[str] = []
+        while self.entries and self.entries[0][0] <= now:
+            found.append(heappop(self.entries)[1])
+        return found
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/measure/queue_cost.py
@@ -0,0 +1,138 @@
+"""What held messages cost: the former piles, which every event sorted (tests/reference), and the queues now.
+
+    python measure/queue_cost.py [LARGEST]
+
+Prints the entries visited for an event by messages held (LARGEST, 1,000,000 at first, sets the last size);
+processor time for an event, in turn, old and new; memory of a held message; and the time of a round in which
+a full pile opens. An event is an outcome or an arrival at one destination that takes a call at a time.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+import time
+import tracemalloc
+from collections import deque
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from lemonshunt import interface as i  # noqa: E402
+from lemonshunt.choice import Dispatcher  # noqa: E402
+from tests import reference  # noqa: E402
+
+S = 1_000_000
+LIFE = 7200 * S
+KEYED = i.MessageClass("notice", 900 * S, LIFE, i.Effect.KEYED, i.Scope.ALL, 2 * LIFE, True, late_worth=0.5)
+CLASSES = (i.MessageClass("reminder", 900 * S, LIFE, late_worth=0.5),
+           i.MessageClass("receipt", 900 * S, LIFE, late_worth=0.5), KEYED)
+BATCH = 1000
+"""Messages taken on in one round while a pile is filled."""
+EVENTS, REPEATS = 200, 5
+Make = Callable[[i.Settings, int, int], Any]
+
+
+class Site:
+    """One destination that takes three calls at a time, and the messages that are held for it."""
+
+    def __init__(self, make: Make, held: int, own_keys: bool = False) -> None:
+        self.now, self.taken, self.own_keys = 0, 0, own_keys
+        settings = i.Settings(slots=4, classes=CLASSES, max_open=1 << 40, tenants=(i.Tenant("city", 1e9),),
+                              over_share_worth=0.5, max_attempts=4)
+        self.dispatcher = make(settings, 1, 0)
+        self.dispatcher.handle(0, [i.Listed(i.ListKind.SAVED, (i.TargetEntry(1, 10), i.TargetEntry(2, 10)))])
+        self.dispatcher.handle(0, [i.Shares(10, 0, 1000 * S, 1 << 50, 0)])  # nothing may go
+        self.waiting: deque[i.Event] = deque()
+        while self.taken < held:
+            self.now += 1000
+            self.dispatcher.handle(self.now, [self.arrival() for _ in range(min(BATCH, held - self.taken))])
+
+    def arrival(self) -> i.Arrived:
+        self.taken += 1
+        n = self.taken
+        name = "notice" if self.own_keys else CLASSES[n % 2].name
+        due = self.now + 3600 * S + n * 7919 % 3000 * S
+        return i.Arrived(f"message {n}", 10, name, due, f"key {n}" if self.own_keys else None, "city")
+
+    def open(self) -> float:
+        """Any call may go from now on; the processor seconds of the round."""
+        return self.round(i.Shares(10, 0, 0, 0, 0))
+
+    def serve(self, events: int) -> float:
+        """So many rounds of one event each, arrivals and outcomes; processor seconds for an event."""
+        return sum(self.round(self.waiting.popleft() if self.waiting else self.arrival())
+                   for _ in range(events)) / events
+
+    def round(self, event: i.Event) -> float:
+        self.now += 5_000
+        start = time.process_time()
+        actions = self.dispatcher.handle(self.now, [event])
+        spent = time.process_time() - start
+        for a in actions:
+            if isinstance(a, i.Send):
+                self.waiting += [i.Ended(a.message, 0, a.target, i.Outcome.DELIVERED, 20_000, True),
+                                 self.arrival()]
+        return spent
+
+
+def work(sizes: Sequence[int]) -> None:
+    print("entries visited for an event:")
+    for held in sizes:
+        site = Site(Dispatcher, held)
+        site.open()
+        site.serve(10)
+        before = site.dispatcher.visited
+        spent = site.serve(EVENTS)
+        print(f"  {held:>9,} held: {(site.dispatcher.visited - before) / EVENTS:.1f}, {spent * 1e6:.0f} us")
+
+
+def times() -> None:
+    print(f"processor time for an event, median of {REPEATS} in turn (old, new):")
+    for held in (0, 100, 1000, 3000):
+        spent: dict[str, list[float]] = {"old": [], "new": []}
+        for _ in range(REPEATS):
+            for name, make in (("old", reference.Dispatcher), ("new", Dispatcher)):
+                site = Site(make, held)
+                site.open()
+                site.serve(10)
+                spent[name].append(site.serve(EVENTS if held else 10 * EVENTS) * 1e6)
+        old, new = (statistics.median(spent[name]) for name in ("old", "new"))
+        print(f"  {held:>9,} held: {old:.0f} us, {new:.0f} us: {old / new:.1f} times"
+              f" (old {min(spent['old']):.0f}-{max(spent['old']):.0f},"
+              f" new {min(spent['new']):.0f}-{max(spent['new']):.0f})")
+
+
+def memory(held: int) -> None:
+    print(f"memory of a held message, {held:,} held, without its event (old, new):")
+    for keyed in (False, True):
+        sizes = []
+        for make in (reference.Dispatcher, Dispatcher):
+            tracemalloc.start()
+            site = Site(make, held, keyed)
+            sizes.append(tracemalloc.get_traced_memory()[0] / held)
+            tracemalloc.stop()
+            assert len(site.dispatcher.messages) == held
+        name = "each in a key of its own" if keyed else "without keys"
+        print(f"  {name}: {sizes[0]:.0f}, {sizes[1]:.0f} bytes")
+
+
+def opening(sizes: Sequence[int]) -> None:
+    print("processor time of the round in which a full pile opens (old, new):")
+    for held in sizes:
+        spent = []
+        for make in (reference.Dispatcher, Dispatcher):
+            site = Site(make, held)
+            spent.append(site.open() * 1e3)
+        print(f"  {held:>9,} held: {spent[0]:.2f} ms, {spent[1]:.2f} ms")
+
+
+if __name__ == "__main__":
+    largest = int(sys.argv[1]) if len(sys.argv) > 1 else 1_000_000
+    times()
+    memory(10_000)
+    opening((3000, 20_000))
+    work((100, 10_000, largest))
--- /dev/null
+++ b/tests/reference/crowd.py
@@ -0,0 +1,66 @@
+"""Worlds with long piles: bursts, shares of a whole, equal deadlines, jams, leaps of the clock."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lemonshunt import interface as i
+from tests.worlds import MS, S, World
+
+GRAIN = 10 * MS
+"""Deadlines and times of rounds fall on the same marks in half of the worlds: many are equal."""
+
+
+class Crowd(World):
+    def settings(self) -> i.Settings:
+        base = super().settings()
+        aims = (301 * MS + 1, 500 * MS, S)
+        worths = (0.0, 0.5, 0.9, 1.0)
+        classes = tuple(replace(c, aim_us=self.pick(c.aim_us, *aims), late_worth=self.pick(*worths))
+                        for c in base.classes)
+        return replace(base, classes=classes, slots=self.pick(1, 2, 6, 30, 200),
+                       balancers=self.pick(1, 2, 8, 9, 60, 500), max_open=self.pick(150, 10**6, 10**6),
+                       max_attempts=self.pick(1, 2, 4, 10**6), conn_idle_us=self.pick(0, S, 60 * S))
+
+    def pick_time(self, time: int) -> int:
+        return time // GRAIN * GRAIN if self.seed % 2 else time
+
+    def arrival(self) -> i.Arrived:
+        event = super().arrival()
+        key = self.pick(event.key, f"key {self.r.randrange(12)}", "k")
+        changed = replace(event, key=key, due_us=self.pick_time(event.due_us),
+                          destination=self.pick(event.destination, event.destination, 0, 10))
+        if event.message in self.open:
+            self.open[event.message].event = changed
+        return changed
+
+    def happened(self) -> list[i.Event]:
+        events = super().happened()
+        if self.luck(0.03):
+            events += [self.arrival() for _ in range(self.pick(20, 60, 200))]
+        if self.luck(0.04):
+            events.append(self.share())
+        if self.luck(0.02):
+            events += [self.withdrawal() for _ in range(min(len(self.open), 30))]
+        if self.luck(0.01):
+            since = self.now - self.r.randrange(9 * S)
+            back = self.pick(-1, -1, min(self.now, since + S))
+            events.append(i.OutageRecalled(self.pick(*self.entries), since, back))
+        return events
+
+    def share(self) -> i.Shares:
+        span = self.pick(0, 0, S, 5 * S)
+        spent = self.pick((), ((self.now - S // 2, 2), (self.now, 1)))
+        return i.Shares(10 + self.r.randrange(5), self.pick(0, 1, 4, 50), span,
+                        self.now + self.pick(-S, 2 * S, 90 * S), self.pick(0, 0, 1, 3), spent)
+
+    def withdrawal(self) -> i.Withdrawn:
+        name = self.pick(*self.open)
+        del self.open[name]
+        return i.Withdrawn(name)
+
+    def carry_out(self, actions: list[i.Action]) -> None:
+        super().carry_out(actions)
+        if self.luck(0.003):  # the machine was suspended
+            self.now += self.pick(3 * S, 60 * S, 3600 * S)
+        self.now = self.pick_time(self.now + GRAIN - 1)
--- /dev/null
+++ b/tests/test_queue_replay.py
@@ -0,0 +1,63 @@
+"""Held messages in queues give, round by round, what sorting them anew gave (tests/reference).
+
+By hand: python -m tests.test_queue_replay FIRST LAST plays the drawn worlds of these seeds.
+"""
+
+import sys
+from collections import Counter
+
+import pytest
+
+from tests.reference.crowd import Crowd
+from tests.reference.pair import Pair
+from tests.worlds import ROUNDS, SEEDS, World
+
+RECORDED, DRAWN = SEEDS[:14], range(14)
+REACHED = (
+    # Events and outcomes
+    "Arrived", "Ended", "Recalled", "OutageRecalled", "Listed", "Detached", "Attached", "Shares", "Retuned",
+    "Remembered", "Withdrawn", "EndOwed", "EndTold", "TimerDue",
+    "DELIVERED", "FAILED", "FULL", "TIMED_OUT", "NO_CONNECTION", "RESET", "SPOILT", "CANCELED", "NOT_SENT",
+    # Actions and their causes
+    "Send", "Cancel", "CloseIdle", "SetTimer", "Subscribe", "Note", "Outage",
+    "Refuse: may not be sent again", "Fail: may not be sent again",
+    "Refuse: no call could end in time", "Fail: no call could end in time", "Refuse: no share in time",
+    "Refuse: makes way for fresh ones", "Fail: makes way for fresh ones", "Refuse: buffer nearly full",
+    # What the queues are asked
+    "several sends in one round", "sent over share", "sent again within a scope", "sent in its key's turn",
+    "rest of a key over", "repeat window over while held", "line forgotten", "untried", "kept",
+    "faded and held", "spent and held", "withdrawn while held", "withdrawn while out",
+    "withdrawn from the middle of a line", "retuned with held", "retuned, other attempts",
+    "retuned, other classes", "jammed with other destinations", "shut and not looked at in a jam",
+    "many held",
+)
+
+
+def play(kind: type[World], seed: int, seen: Counter[str]) -> None:
+    world = kind(seed, lambda settings, number, now: Pair(settings, number, now, seen))
+    assert sum(1 for _ in world.play(ROUNDS)) == ROUNDS
+
+
+@pytest.mark.parametrize("seed", RECORDED)
+def test_recorded_worlds_come_out_the_same(seed: int) -> None:
+    play(World, seed, Counter())
+
+
+@pytest.mark.parametrize("seed", DRAWN)
+def test_worlds_with_long_piles_come_out_the_same(seed: int) -> None:
+    play(Crowd, seed, Counter())
+
+
+def test_worlds_reach_every_branch() -> None:
+    seen: Counter[str] = Counter()
+    for seed in DRAWN:
+        play(Crowd, seed, seen)
+    assert {name for name in REACHED if not seen[name]} == set()
+
+
+if __name__ == "__main__":
+    counted: Counter[str] = Counter()
+    for number in range(int(sys.argv[1]), int(sys.argv[2])):
+        play(World, number, counted)
+        play(Crowd, number, counted)
+    print("\n".join(f"{counted[name]:>9,} {name}" for name in sorted(counted)))
