Keep emptied lanes to be filled again, so that a message sent at once costs little more

Change: Held keeps up to 2,000 empty piles and each up to 4 empty lanes; one lane alone goes by deadline without groups; the two figures of an attempt's name are one tuple. The measure takes old and new in turns of one event and of 200.

--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -158,7 +158,8 @@
         pile = b.held.piles[destination]
         opens = next_call(b, destination)
         opens = b.now if opens >= NEVER else opens
-        jam = is_jammed(b, pile)
+        fading = [lane for lane in pile.lanes.values() if b.now > lane.fades_at(lane.held[0].due)]
+        jam = bool(fading) and is_jammed(b, pile)
         leaving = [m for lane in pile.lanes.values() for m in front(b, lane, opens, jam)]
         for m in sorted(leaving, key=lambda m: m.position):
             if not b.may_repeat(m):
@@ -177,11 +178,8 @@
 
 
 def is_jammed(b: Books, pile: Pile) -> bool:
-    """Whether a message has waited for more than half of its aim, and not yet for all of it, where there are
-    any that may give way."""
+    """Whether a message has waited for more than half of its aim, and not yet for all of it."""
     b.visited += len(pile.lanes)
-    if not any(b.now > lane.fades_at(lane.held.head().due) for lane in pile.lanes.values()):
-        return False
     youngest = ((lane, lane.first_younger(b.now, lane.cls.aim_us)) for lane in pile.lanes.values())
     return any(m is not None and lane.cls.aim_us / 2 < age(m, b.now) for lane, m in youngest)
 
--- a/lemonshunt/choice/order.py
+++ b/lemonshunt/choice/order.py
@@ -70,20 +70,25 @@
             lanes += b.held.piles[destination].lanes.values()
         elif destination not in b.looks:
             watch_opening(b, destination)
+    if len(lanes) == 1:
+        yield from by_deadline(b, lanes[0], shut)
+        return
     for beyond in sorted({lane.key.over_share for lane in lanes}):
         yield from by_groups(b, [lane for lane in lanes if lane.key.over_share is beyond], shut)
 
 
+def by_deadline(b: Books, lane: Lane, shut: set[int]) -> Iterator[Message]:
+    """Groups make no difference in one lane: the call is the same for all."""
+    while (m := lane.ready.first()) is not None and can_call(b, lane, shut):
+        b.visited += 1
+        yield m
+        if m.lane is lane:
+            return
+
+
 def by_groups(b: Books, lanes: list[Lane], shut: set[int]) -> Iterator[Message]:
     """Parts all held messages into groups by the time left, and yields the ready ones of each in turn. A
     message that is still held afterwards found no open target, nor will any behind it in its lane."""
-    if len(lanes) == 1:  # the same call for all: by deadline
-        while (only := lanes[0].ready.first()) is not None and can_call(b, lanes[0], shut):
-            b.visited += 1
-            yield only
-            if only.lane is lanes[0]:
-                return
-        return
     end = group_end(b, -NEVER)
     ready = [lane for lane in lanes if lane.ready]
     while ready:
@@ -151,8 +156,9 @@
     if m.key is not None:
         b.lines[m.key].out += 1
     b.sends += 1
-    b.attempts[(m.id, m.attempts)] = Attempt(m, call, b.sends)
-    call.attempts.append((m.id, m.attempts))
+    named = (m.id, m.attempts)
+    b.attempts[named] = Attempt(m, call, b.sends)
+    call.attempts.append(named)
     m.attempts, m.out = m.attempts + 1, m.out + 1
     b.usual.clear()
     b.actions.append(i.Send(m.id, t.id, timeout(b, m, t.place)))
--- a/lemonshunt/choice/queues.py
+++ b/lemonshunt/choice/queues.py
@@ -51,7 +51,7 @@
 
 def retune(b: Books, old: i.Settings) -> None:
     """Other settings hold: only another number of attempts concerns each message by itself."""
-    b.held.spare.clear()
+    b.held.forget_spare()
     lanes = [lane for pile in b.held.piles.values() for lane in pile.lanes.values()]
     for lane in lanes:
         lane.fades_after_us = b.fades_after(lane.cls)
@@ -65,9 +65,7 @@
     line = b.lines[key]
     head = line.head() if line.queue and not (line.out or line.owed) else None
     if head is not None and b.now < line.rest_until and not head.attempts:
-        if line.wakes_at != line.rest_until:
-            line.wakes_at = line.rest_until
-            b.resting.add(line.rest_until, key)
+        b.resting.add(line.rest_until, key)
         head = None
     line.offer(head if head and head.lane and not head.lane.key.spent else None)
     if not line.in_use(NEVER):
@@ -79,7 +77,6 @@
     for key in b.resting.due(b.now) if b.resting.entries else ():
         b.visited += 1
         if key in b.lines:
-            b.lines[key].wakes_at = -1
             offer(b, key)
     for name in b.expiring.due(b.now) if b.expiring.entries else ():
         b.visited += 1
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -20,8 +20,8 @@
 MESSAGE_KEPT = ("over_share", "waited", "avoid")
 CALL_KEPT = ("sent_at", "idle", "gap", "joined", "judged", "passed")
 
-MOST_SPARE = 2_000
-"""Empty piles that are kept to be filled again."""
+MOST_SPARE_PILES, MOST_SPARE_LANES = 2_000, 4
+"""Empty piles that are kept to be filled again, and empty lanes in each pile."""
 
 
 def kept(record: object, names: Iterable[str]) -> dict[str, Any]:
@@ -182,8 +182,6 @@
     """How many have a final answer that is still on its way."""
     offered: Message | None = None
     """The head, while nothing but its destination keeps it from going."""
-    wakes_at: int = -1
-    """The end of the rest that is waited for; -1 where none is."""
 
     def head(self) -> Message:
         """The next message; there must be one."""
@@ -210,6 +208,13 @@
 class MessageQueue(SortedList):  # type: ignore[misc]
     """Messages by deadline. Adding, removing and looking up take time logarithmic in their number."""
 
+    def remove(self, m: Message) -> None:
+        """Take out a message; it must be there."""
+        if len(self) == 1:
+            self.clear()  # the common case where messages are served at once
+        else:
+            super().remove(m)
+
     def head(self) -> Message:
         """The first; there must be one."""
         m: Message = self[0]
@@ -300,6 +305,8 @@
     """The held messages of one destination."""
 
     lanes: dict[LaneKey, Lane] = field(default_factory=dict)
+    spare: dict[LaneKey, Lane] = field(default_factory=dict)
+    """Lanes that are empty, to be filled again."""
     size: int = 0
 
     def __len__(self) -> int:
@@ -317,19 +324,18 @@
 
     piles: dict[int, Pile] = field(default_factory=dict)
     spare: dict[int, Pile] = field(default_factory=dict)
-    """Piles that are empty, with the lane that was last: most that are served at once are filled again."""
+    """Piles that are empty, to be filled again: where messages are served at once, each fills one."""
 
     def add(self, m: Message, key: LaneKey, make: Callable[[Message, LaneKey], Lane]) -> None:
         """Hold a message in the lane of a key; where there is none, one is made."""
         pile = self.piles.get(m.destination)
         if pile is None:
             pile = self.spare.pop(m.destination, None)
-            if pile is None or key not in pile.lanes:
-                pile = Pile()
-            self.piles[m.destination] = pile
+            pile = self.piles[m.destination] = Pile() if pile is None else pile
         lane = pile.lanes.get(key)
         if lane is None:
-            lane = pile.lanes[key] = make(m, key)
+            spare = pile.spare.pop(key, None)
+            lane = pile.lanes[key] = make(m, key) if spare is None else spare
         pile.size += 1
         lane.held.add(m)
         m.lane = lane
@@ -343,12 +349,20 @@
         m.lane = None
         pile = self.piles[lane.destination]
         pile.size -= 1
+        if not lane.held:
+            del pile.lanes[lane.key]
+            if len(pile.spare) < MOST_SPARE_LANES:
+                pile.spare[lane.key] = lane
         if not pile.size:
             del self.piles[lane.destination]
-            if len(self.spare) < MOST_SPARE:
+            if len(self.spare) < MOST_SPARE_PILES:
                 self.spare[lane.destination] = pile
-        elif not lane.held:
-            del pile.lanes[lane.key]
+
+    def forget_spare(self) -> None:
+        """Let the empty piles and lanes go."""
+        self.spare.clear()
+        for pile in self.piles.values():
+            pile.spare.clear()
 
 
 @dataclass(slots=True)
--- a/measure/queue_cost.py
+++ b/measure/queue_cost.py
@@ -90,20 +90,23 @@
         print(f"  {held:>9,} held: {(site.dispatcher.visited - before) / EVENTS:.1f}, {spent * 1e6:.0f} us")
 
 
-def times() -> None:
-    print(f"processor time for an event, median of {REPEATS} in turn (old, new):")
+def times(turn: int) -> None:
+    """In short turns the processor's caches are full of what the old one has just visited."""
+    print(f"processor time for an event, old and new in turns of {turn} events, median of {REPEATS}:")
     for held in (0, 100, 1000, 3000):
-        spent: dict[str, list[float]] = {"old": [], "new": []}
+        spent: tuple[list[float], list[float]] = ([], [])
         for _ in range(REPEATS):
-            for name, make in (("old", reference.Dispatcher), ("new", Dispatcher)):
-                site = Site(make, held)
+            sites = [Site(make, held) for make in (reference.Dispatcher, Dispatcher)]
+            for site in sites:
                 site.open()
                 site.serve(10)
-                spent[name].append(site.serve(EVENTS if held else 10 * EVENTS) * 1e6)
-        old, new = (statistics.median(spent[name]) for name in ("old", "new"))
-        print(f"  {held:>9,} held: {old:.0f} us, {new:.0f} us: {old / new:.1f} times"
-              f" (old {min(spent['old']):.0f}-{max(spent['old']):.0f},"
-              f" new {min(spent['new']):.0f}-{max(spent['new']):.0f})")
+            turns = (EVENTS if held else 20 * EVENTS) // turn
+            seconds = [[site.serve(turn) for site in sites] for _ in range(turns)]
+            for which, each in zip(spent, zip(*seconds, strict=True), strict=True):
+                which.append(sum(each) / turns * 1e6)
+        old, new = (statistics.median(which) for which in spent)
+        print(f"  {held:>9,} held: {old:.0f} us, {new:.0f} us: {old / new:.2f} times"
+              f" (old {min(spent[0]):.0f}-{max(spent[0]):.0f}, new {min(spent[1]):.0f}-{max(spent[1]):.0f})")
 
 
 def memory(held: int) -> None:
@@ -123,16 +126,14 @@
 def opening(sizes: Sequence[int]) -> None:
     print("processor time of the round in which a full pile opens (old, new):")
     for held in sizes:
-        spent = []
-        for make in (reference.Dispatcher, Dispatcher):
-            site = Site(make, held)
-            spent.append(site.open() * 1e3)
+        spent = [Site(make, held).open() * 1e3 for make in (reference.Dispatcher, Dispatcher)]
         print(f"  {held:>9,} held: {spent[0]:.2f} ms, {spent[1]:.2f} ms")
 
 
 if __name__ == "__main__":
     largest = int(sys.argv[1]) if len(sys.argv) > 1 else 1_000_000
-    times()
+    times(1)
+    times(EVENTS)
     memory(10_000)
-    opening((3000, 20_000))
+    opening((3000, 100_000))
     work((100, 10_000, largest))
