Place the queues' and the member list's new bounds in the test of all bounds

Cause: state.MOST_SPARE_PILES (2,000) and registry.member_list.MOST_KNOWN (20,000) bound lists, state.MOST_SPARE_LANES (4) what one destination keeps empty; the test asks for each to be placed.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -54,6 +54,7 @@
     "registry.disk.KEPT_NOTICES",
     "registry.disk.MOST_NOTICES", "registry.maps.MOST_RANGES", "registry.web.BACKLOG",
     "registry.web.MOST_FAULTS", "session.desk.MOST_PAST", "session.words.ITEMS", "shard.plan.MOST_RANGES",
+    "registry.member_list.MOST_KNOWN", "state.MOST_SPARE_PILES",
 }
 TEXT = "bytes or characters, no list"
 NUMBER = "a time or a number that is told, no list"
@@ -92,6 +93,7 @@
     "net.fleet_file.MOST_BYTES": TEXT,
     "net.handover.MOST_HOLD_S": NUMBER,
     "net.engine.MOST_SOONER_US": NUMBER,
+    "state.MOST_SPARE_LANES": ONE,
     "net.http.MOST_BODY": TEXT,
     "net.http.MOST_HEAD": TEXT,
     "net.http.MOST_LIST": TEXT,
