Find the largest pile by its size while the buffer is nearly full

Cause: each round looked at all destinations for the largest pile, for as long as the buffer was above its mark. Change: piles of 64 messages and more are found by their size in Held; only where all are smaller are they compared. Red without the largest size going down again: "FAILED tests/test_queue.py::test_the_largest_pile_is_known_without_looking_at_all".

--- a/lemonshunt/choice/giving.py
+++ b/lemonshunt/choice/giving.py
@@ -196,7 +196,7 @@
 def shed(b: Books) -> None:
     """One jammed destination must not fill the buffer: of the largest pile, what came in this round is turned
     away at the door. What was taken on stays: its client would hear of its end only by a notice."""
-    worst = max(b.held.piles, key=lambda d: (len(b.held.piles[d]), d))
+    worst = b.held.largest()
     pile = [m for m in b.fresh if m.lane is not None and m.destination == worst and not m.before]
     pile.sort(key=lambda m: (m.over_share, m.due, m.number))
     if pile and b.now - b.shed_at >= FORGET_US:
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -22,6 +22,8 @@
 
 MOST_SPARE_PILES, MOST_SPARE_LANES = 2_000, 4
 """Empty piles that are kept to be filled again, and empty lanes in each pile."""
+LARGE_PILE = 64
+"""From so many messages on a pile is found by its size."""
 
 
 def kept(record: object, names: Iterable[str]) -> dict[str, Any]:
@@ -325,6 +327,28 @@
     piles: dict[int, Pile] = field(default_factory=dict)
     spare: dict[int, Pile] = field(default_factory=dict)
     """Piles that are empty, to be filled again: where messages are served at once, each fills one."""
+    by_size: dict[int, set[int]] = field(default_factory=dict)
+    """The destinations of large piles by the number of their messages."""
+    largest_size: int = 0
+    """The greatest number in `by_size`; 0 where there is none."""
+
+    def largest(self) -> int:
+        """The destination with the largest pile, of equal ones the last by number. There must be one."""
+        if self.largest_size:
+            return max(self.by_size[self.largest_size])
+        return max(self.piles, key=lambda destination: (self.piles[destination].size, destination))
+
+    def resize(self, destination: int, size: int, change: int) -> None:
+        """Book that a pile which had `size` messages has one more or less."""
+        changed = size + change
+        if size in self.by_size:
+            self.by_size[size].discard(destination)
+            if not self.by_size[size]:
+                del self.by_size[size]
+        if changed >= LARGE_PILE:
+            self.by_size.setdefault(changed, set()).add(destination)
+        if changed > self.largest_size or (size == self.largest_size and size not in self.by_size):
+            self.largest_size = changed if changed >= LARGE_PILE else 0
 
     def add(self, m: Message, key: LaneKey, make: Callable[[Message, LaneKey], Lane]) -> None:
         """Hold a message in the lane of a key; where there is none, one is made."""
@@ -337,6 +361,8 @@
             spare = pile.spare.pop(key, None)
             lane = pile.lanes[key] = make(m, key) if spare is None else spare
         pile.size += 1
+        if pile.size >= LARGE_PILE:
+            self.resize(m.destination, pile.size - 1, 1)
         lane.held.add(m)
         m.lane = lane
 
@@ -349,6 +375,8 @@
         m.lane = None
         pile = self.piles[lane.destination]
         pile.size -= 1
+        if pile.size + 1 >= LARGE_PILE:
+            self.resize(lane.destination, pile.size + 1, -1)
         if not lane.held:
             del pile.lanes[lane.key]
             if len(pile.spare) < MOST_SPARE_LANES:
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -279,3 +279,19 @@
             lane.held.add(Message(str(n), 10, cls, near + draw.randrange(-9, 9), n, None, False, 1))
         plain = next((m for m in lane.held if lane.fades_at(m.due) > now), None)
         assert lane.first_fresh(now) is plain
+
+
+def test_the_largest_pile_is_known_without_looking_at_all() -> None:
+    draw, d = Random(4), site()
+    held: list[str] = []
+    for n in range(3_000):
+        if draw.random() < (0.7 if n % 1_000 < 500 else 0.3) or not held:
+            held.append(f"m{n}")
+            d.handle(0, [SHUT, replace(SHUT, destination=11), replace(SHUT, destination=12),
+                         long(held[-1], n, 10 + draw.randrange(3))])
+        else:
+            d.handle(0, [i.Withdrawn(held.pop(draw.randrange(len(held))))])
+        piles = d.held.piles
+        assert not piles or d.held.largest() == max(piles, key=lambda name: (len(piles[name]), name))
+        large = sorted(name for name, pile in piles.items() if len(pile) >= 64)
+        assert sorted(name for names in d.held.by_size.values() for name in names) == large
