Move a held message in its lane when its deadline is changed; wait only for repeats that a time ends

And the time after which a message may not be repeated was noted also where its deadline comes first, so entries outlasted their messages by as long as keys are known. Change: setting Message.due takes it out of its queues and in again; only repeats that end before the deadline are noted. Both have a test in tests/test_queue.py.

--- a/lemonshunt/choice/queues.py
+++ b/lemonshunt/choice/queues.py
@@ -27,7 +27,7 @@
     key = lane_key(b, m)
     b.held.add(m, key, b.new_lane)
     b.visited += 1
-    if m.ran_at >= 0 and m.cls.effect is i.Effect.KEYED and not key.spent:
+    if m.ran_at >= 0 and not key.spent and b.repeat_by(m) < m.due:
         b.expiring.add(b.repeat_by(m), m.id)
     if m.key is not None:
         offer(b, m.key)
--- a/lemonshunt/state.py
+++ b/lemonshunt/state.py
@@ -40,11 +40,12 @@
 class Deadline:
     """A place in the order by deadline, to look there: before or after a message, or between two."""
 
-    due: float
+    deadline: float
     number: int
 
     def __lt__(self, other: Deadline | Message) -> bool:
-        return self.due < other.due or (self.due == other.due and self.number < other.number)
+        return self.deadline < other.deadline or (
+            self.deadline == other.deadline and self.number < other.number)
 
 
 @dataclass(slots=True, eq=False)
@@ -54,7 +55,7 @@
     id: str
     destination: int
     cls: MessageClass
-    due: int
+    deadline: int
     number: int
     """Counts all that were taken on, and all that were put back, since the start."""
     key: str | None
@@ -81,7 +82,22 @@
     """Where it is held."""
 
     def __lt__(self, other: Deadline | Message) -> bool:
-        return self.due < other.due or (self.due == other.due and self.number < other.number)
+        return self.deadline < other.deadline or (
+            self.deadline == other.deadline and self.number < other.number)
+
+    @property
+    def due(self) -> int:
+        return self.deadline
+
+    @due.setter
+    def due(self, due: int) -> None:
+        """Where it is held it moves in its lane."""
+        queues = [] if self.lane is None else self.lane.queues_with(self)
+        for queue in queues:
+            queue.remove(self)
+        self.deadline = due
+        for queue in queues:
+            queue.add(self)
 
 
 @dataclass(slots=True)
@@ -275,6 +291,11 @@
     def __post_init__(self) -> None:
         self.ready = MessageQueue() if self.key.keyed or self.key.spent else self.held
 
+    def queues_with(self, m: Message) -> list[MessageQueue]:
+        """Those of its queues in which one of its messages is."""
+        apart = self.ready is not self.held and m in self.ready
+        return [self.held, self.ready] if apart else [self.held]
+
     def fades_at(self, due: int) -> float:
         """When a message of a given deadline may give way. It never does before its deadline if untried."""
         if self.key.untried:
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -281,6 +281,26 @@
         assert lane.first_fresh(now) is plain
 
 
+@pytest.mark.parametrize(("window", "waits"), [(9, 0), (3, 1)])
+def test_a_repeat_that_no_time_ends_is_not_waited_for(window: int, waits: int) -> None:
+    """The entries would outlast their messages by the time for which keys are known."""
+    d = site(classes=(replace(settings().classes[1], window_us=window * S),))
+    send = sends(d.handle(0, [ask("m", cls="keyed", due=6 * S)]))[0]
+    d.handle(MS, [end(send, FAILED), SHUT])
+    assert len(d.expiring.entries) == waits
+    assert len(finals(d.handle(5 * S, [i.Shares(10, 1, S, 9 * S, 1)]))) == waits
+
+
+@pytest.mark.parametrize("cls", ["safe", "turns"])
+def test_a_deadline_that_is_changed_while_its_message_is_held(cls: str) -> None:
+    d = site()
+    d.handle(0, [SHUT, *(ask(f"m{n}", cls=cls, due=6 * S + n, key=f"k{n}") for n in range(5))])
+    d.messages["m3"].due = 2 * S
+    assert [a.message for a in finals(d.handle(2 * S, [i.Listed(i.ListKind.CHANGES)]))] == ["m3"]
+    d.messages["m0"].due = 7 * S
+    assert [s.message for s in sends(d.handle(3 * S, [OPEN]))] == ["m1"]
+
+
 def test_the_largest_pile_is_known_without_looking_at_all() -> None:
     draw, d = Random(4), site()
     held: list[str] = []
