--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -43,8 +43,10 @@
         self.leaves: Callable[[Call], int] | None = None
         """Asked last before a call's first byte: 0, it leaves; else when to ask again, in microseconds; below
         0, not soon."""
+        self.recorded: Callable[[Call], bool] | None = None
+        """Asked then: whether it may leave, as what must be kept of it first is."""
         self.left: Callable[[Call], None] | None = None
-        """Told right after it."""
+        """Told right after its first byte."""
 
     def settle(self, fields: tuple[str, ...], idle_us: int, dial_us: int) -> None:
         self.fields, self.dial_us = fields, dial_us or SECOND
@@ -127,7 +129,7 @@
         those before it left later than they were decided, is held for that moment."""
         data = self.render(call)
         wait = 0 if self.leaves is None else self.leaves(call)
-        if not wait:
+        if not wait and (self.recorded is None or self.recorded(call)):
             connection.start(call, data)
             if self.left is not None:
                 self.left(call)
--- a/lemonshunt/net/engine.py
+++ b/lemonshunt/net/engine.py
@@ -84,7 +84,7 @@
         self.remote, self.later = {}, []
         self.summed_s = time.monotonic()
         self.done = asyncio.Event()
-        self.pool.left = self.left
+        self.pool.recorded, self.pool.left = self.recorded, self.left
         self.fleet = None
         if config.fleet is not None:
             from lemonshunt.net.fleet import Fleet
@@ -237,6 +237,26 @@
         call.items = kept
         return bool(kept)
 
+    def recorded(self, call: Call) -> bool:
+        """Journal a call's attempts right before its first byte, and no sooner: of one whose connection comes
+        up while the process is killed it is known that it never ran. Whether it may leave."""
+        if self.config.power:
+            return True
+        messages = [self.store.messages[item.id] for item in call.open.values()
+                    if item.id in self.store.messages]
+        name = self.names.get(call.target, "")
+        for m in messages:
+            self.store.attempt(m, call.open[m.id].attempt, call.sent_us, name)
+        self.store.flush()
+        return not self.store.log.behind or all(map(self.harmless, messages))
+
+    def book(self, event: i.Ended) -> None:
+        """Journal an outcome, and an attempt that came back before it was recorded: it counts as one."""
+        m = self.store.messages.get(event.message)
+        if m is not None and event.attempt not in m.out and not event.closed:
+            self.store.attempt(m, event.attempt, self.clock(), self.names.get(event.target, ""))
+        super().book(event)
+
     def unkept_s(self, m: Taken, attempt: int) -> float:
         """Each one uses up an attempt: at a steady pace a full disk would use up all before it has room."""
         return max(0.0, min(UNKEPT_S * 2.0**attempt, (m.due_us - self.clock()) / SECOND))
@@ -285,7 +305,7 @@
 
     def send(self, a: i.Send, now: int, forming: dict[tuple[int, bool], Call],
              calls: list[i.CloseIdle | Call | i.Cancel]) -> None:
-        """Journal an attempt and put it into a call: those of one round to one target travel together. A call
+        """Count an attempt and put it into a call: those of one round to one target travel together. A call
         is given up as a whole, so messages that are waited for till their end, as once-only ones are, share
         none with those that may be sent again sooner."""
         m = self.store.messages.get(a.message)
@@ -300,7 +320,11 @@
             m.attempts += 1
             self.post(i.Ended(m.id, number, a.target, i.Outcome.NOT_SENT, 0))
             return
-        self.store.attempt(m, number, now, name)
+        if self.config.power:  # which has to be synced: its connection comes up meanwhile
+            self.store.attempt(m, number, now, name)
+        else:  # a record that says nothing yet, which shows whether there is room for those to come
+            m.attempts = number + 1
+            self.store.outcome(m, number, False)
         cls = self.store.class_of(m)
         once = cls is not None and cls.effect is i.Effect.ONCE
         until = now + min(a.timeout_us, self.patience_us(m, now))
