Keep an attempt's record ahead of the last gate, so that nothing stands behind its yes

Cause: the record of an attempt was written between the fleet gate's yes, which counts the call, and its first byte; a disk that takes long would let the call leave late, and one that fails would have it counted and not sent. Change: the record is written first, then the gate is asked.

--- a/lemonshunt/net/client.py
+++ b/lemonshunt/net/client.py
@@ -20,6 +20,7 @@
 SECOND = 1_000_000
 MOST_WAITS = 2048  # kept before those that are over are looked for: some hundred endpoints tell one each
 SPOILT_LOG_US = 5 * SECOND
+NOT_SOON = -1
 HELD_US = 50_000  # how long the last gate holds a call at most, rather than send it back undone
 WHOLE_S = 0.5  # an answer that has begun and is not whole after this is spoilt
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EADDRINUSE)
@@ -40,11 +41,11 @@
         self.relayed = 0  # messages written whole to targets
         self.spoilt_us = -SPOILT_LOG_US
         self.calls: dict[tuple[str, int], Call] = {}
+        self.recorded: Callable[[Call], bool] | None = None
+        """Asked once its connection is up: whether what must be kept of a call before it leaves is."""
         self.leaves: Callable[[Call], int] | None = None
         """Asked last before a call's first byte: 0, it leaves; else when to ask again, in microseconds; below
         0, not soon."""
-        self.recorded: Callable[[Call], bool] | None = None
-        """Asked then: whether it may leave, as what must be kept of it first is."""
         self.left: Callable[[Call], None] | None = None
         """Told right after its first byte."""
 
@@ -128,8 +129,9 @@
         """The last gate: nothing stands between its yes and the socket. A call that comes a moment early, as
         those before it left later than they were decided, is held for that moment."""
         data = self.render(call)
-        wait = 0 if self.leaves is None else self.leaves(call)
-        if not wait and (self.recorded is None or self.recorded(call)):
+        recorded = self.recorded is None or self.recorded(call)
+        wait = NOT_SOON if not recorded else 0 if self.leaves is None else self.leaves(call)
+        if not wait:
             connection.start(call, data)
             if self.left is not None:
                 self.left(call)
