--- a/tests/scripts.py
+++ b/tests/scripts.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from lemonshunt import interface as i
-from lemonshunt.choice import Dispatcher, queues
+from lemonshunt.choice import Dispatcher
 
 MS = 1_000
 S = 1_000_000
@@ -249,15 +249,3 @@
         while self.open or self.out:
             self.round(0.0, i.Outcome.FAILED)
             assert self.now < 10 ** 9
-
-
-def due_at(d: Dispatcher, name: str, due_us: int) -> None:
-    """Give an open message another deadline. The queues are in order of deadlines, so a message that is held
-    leaves its queue for that."""
-    m = d.messages[name]
-    held = m.lane is not None
-    if held:
-        queues.remove(d, m)
-    m.due = due_us
-    if held:
-        queues.hold(d, m)
--- a/tests/test_crossing_restart.py
+++ b/tests/test_crossing_restart.py
@@ -21,7 +21,7 @@
 from lemonshunt.net.server import Handed
 from lemonshunt.wirehost import settings as read_settings
 from tests.disk import Hands
-from tests.scripts import MS, S, ask, due_at, end, finals, sends, settings
+from tests.scripts import MS, S, ask, end, finals, sends, settings
 from tests.sockets import (
     PATIENCE,
     SETTINGS,
@@ -173,8 +173,7 @@
         e = self.engine
         assert e is not None
         now = e.clock()
-        e.store.messages[name].due_us = now
-        due_at(e.dispatcher, name, now)
+        e.dispatcher.messages[name].due = e.store.messages[name].due_us = now
         for call in [c for (message, _), c in e.pool.calls.items() if message == name]:
             call.open[name].until_us = now - 1
             e.pool.timed_out(call)
@@ -290,9 +289,9 @@
         for name, late in (("before", False), ("after", True)):
             assert await site.hand_in(name, "pay", left="50") == 202
             await site.until(lambda name=name: site.came(name))  # type: ignore[misc]
+            m = e.dispatcher.messages[name]
             now = e.clock()
-            e.store.messages[name].due_us = now - 1
-            due_at(e.dispatcher, name, now - 1)
+            m.due = e.store.messages[name].due_us = now - 1
             answered = i.Ended(name, 0, e.numbers["s7"], OK, 5, closed=True)
             e.events += [i.TimerDue("look"), answered] if late else [answered, i.TimerDue("look")]
             e.round()
@@ -394,7 +393,7 @@
         door, other = Door(), Door()
         e.hand_in(Handed("first", "turns", 7, e.clock() + 10**7, None, "k", "acme", False, b""), door)
         e.round()  # held; its record is on its way to the disk
-        due_at(e.dispatcher, "first", e.clock())
+        e.dispatcher.messages["first"].due = e.clock()
         e.post(i.Listed(i.ListKind.CHANGES, ()))  # looks at all that is held
         e.round()
         assert "first" in e.store.owed and door.left is not None
--- a/tests/test_suspect_late_loop.py
+++ b/tests/test_suspect_late_loop.py
@@ -15,7 +15,6 @@
 from lemonshunt.net.engine import MOST_SOONER_US
 from lemonshunt.net.server import BEAT_S
 from lemonshunt.net.starting import OVERDUE_US
-from tests.scripts import due_at
 from tests.sockets import Platform, hang, message
 from tests.test_crossing_stopping import Caller, Door, Running, engine_play, play, target
 from tests.test_suspect_stopping import rounds_by_hand
@@ -110,8 +109,7 @@
         await peer.got(1)
         await rounds_by_hand(run)
         m = engine.store.messages["m"]
-        m.due_us = engine.clock() - OVERDUE_US - S
-        due_at(engine.dispatcher, "m", m.due_us)
+        m.due_us = engine.dispatcher.messages["m"].due = engine.clock() - OVERDUE_US - S
         engine.post(i.Ended("m", 0, engine.numbers["s1"], outcome, 5, closed=outcome is i.Outcome.DELIVERED))
         engine.end_overdue()
         assert "m" not in engine.store.messages
