Measure growth by one command: series, fitted shapes, one file of results

The target's size is far past what single scripts measure, and their figures stood apart from each other.

`python -m measure.scale` finds every module of its package that has MEASUREMENTS, runs them at rising sizes until a bound that is recorded, fits a shape to the medians (or says that none is plain) and keeps the series with commit, command and machine; a run replaces only its own entry.

--- /dev/null
+++ b/measure/scale/__main__.py
@@ -0,0 +1,81 @@
+"""Runs measurements and keeps what they gave.
+
+    python -m measure.scale [--list | --merge FILE | NAME...]
+
+Without a name all are run, one after another; each is kept as soon as it is done.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import pkgutil
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from measure import scale
+from measure.scale import results
+from measure.scale.fit import fit
+from measure.scale.results import Entry, Measurement, Series
+
+
+def discover() -> dict[str, Measurement]:
+    """All measurements of this package's modules, by name."""
+    found: dict[str, Measurement] = {}
+    for module in pkgutil.iter_modules(scale.__path__):
+        if module.name.startswith("__"):
+            continue
+        loaded = importlib.import_module(f"{scale.__name__}.{module.name}")
+        for measurement in getattr(loaded, "MEASUREMENTS", ()):
+            if measurement.name in found:
+                raise ValueError(f"two measurements are called {measurement.name}")
+            found[measurement.name] = measurement
+    return found
+
+
+def show(series: Series) -> None:
+    """Print each point, and what the growth comes to."""
+    print(f"  {series.name}, {series.value_unit} against {series.size_unit} ({series.role}):")
+    for point in series.points:
+        least, most = min(point.values), max(point.values)
+        print(f"    {point.size:>12,g}: {point.median:.4g} ({least:.4g} to {most:.4g})")
+    print(f"    {fit(series).describe(series)}; bound: {series.bound or 'not said'}", flush=True)
+
+
+def run(measurement: Measurement, path: Path) -> None:
+    """Run one measurement and keep what it gave."""
+    print(f"{measurement.name}: {measurement.summary}", flush=True)
+    began = time.perf_counter()
+    series = tuple(measurement.run(lambda line: print(f"  {line}", flush=True)))
+    command = f"python -m measure.scale {measurement.name}"
+    results.merge([Entry(measurement.name, results.origin(command), series)], path)
+    for one in series:
+        show(one)
+    print(f"  took {time.perf_counter() - began:.0f} s")
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    parser = argparse.ArgumentParser(prog="python -m measure.scale")
+    parser.add_argument("names", nargs="*", metavar="NAME", help="what to run; all where none is named")
+    parser.add_argument("--list", action="store_true", help="name the measurements there are")
+    parser.add_argument("--merge", type=Path, metavar="FILE", help="take over the entries of another file")
+    parser.add_argument("--results", type=Path, default=results.RESULTS, help="where figures are kept")
+    options = parser.parse_args(arguments)
+    if options.merge:
+        results.merge(results.load(options.merge).values(), options.results)
+        return
+    found = discover()
+    if options.list:
+        for measurement in found.values():
+            print(f"{measurement.name}: {measurement.summary}")
+        return
+    unknown = sorted(set(options.names) - set(found))
+    if unknown:
+        parser.error(f"no such measurement: {', '.join(unknown)}")
+    for name in options.names or found:
+        run(found[name], options.results)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/measure/scale/target.py
@@ -0,0 +1,84 @@
+"""The size the program is meant to reach, and what it may spend there.
+
+The first part was stated by the operators, the second follows from it, the last is assumed, with the reason.
+Nothing here is measured.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Role(StrEnum):
+    """Whose need a figure is."""
+
+    MESSAGE_PATH = "message path"
+    JOURNAL = "journal and backlog"
+    CONTROL_PART = "control part of a forwarder"
+    LIST_SERVICE = "list service"
+    MEMBERS = "leases and members"
+    BUDGETS = "budgets"
+    SHARD_MAP = "shard map"
+    CONFIGURATION = "configuration"
+    CONTROL_MACHINES = "control machines"
+
+
+# Stated by the operators
+
+FORWARDERS = 540
+"""Forwarders of the whole fleet."""
+MESSAGES_PER_S = 540_000
+"""Messages that all forwarders take on in a second."""
+DESTINATIONS = 44_000
+"""Destinations that messages go to."""
+DOWN_SHARE = 0.032
+"""Part of the destinations that is down at any time."""
+BACKLOG = 6_400_000_000
+"""Messages that all forwarders hold at most."""
+REGIONS = 2
+"""Regions the fleet stands in."""
+ZONES = 6
+"""Zones of both regions together."""
+CONFIGURATIONS_PER_DAY = 460
+"""Changes of configuration on a day."""
+CONFIGURATION_S = 4.0
+"""Seconds until a change is in force everywhere."""
+CONTROL_CORE_SHARE = 0.034
+"""Part of one core that a forwarder may spend on control."""
+CONTROL_BYTES = 256_000_000
+"""Memory that a forwarder may spend on control."""
+CONTROL_BYTES_PER_S = 5_000
+"""Bytes a second that a forwarder may spend on control."""
+CONTROL_MACHINES = 4
+"""Machines set aside for control."""
+MACHINES_FAILED_PER_DAY = 2
+"""Machines that fail on an ordinary day."""
+RESTARTS_PER_DAY = 65
+"""Machines that are restarted or replaced on an ordinary day."""
+ZONE_FORWARDERS = 90
+"""Forwarders that a zone takes with it when it fails."""
+SPLIT_S = 3600.0
+"""Seconds for which regions lose each other now and then."""
+
+# Follows from what was stated
+
+FORWARDER_PER_S = MESSAGES_PER_S / FORWARDERS
+"""Messages a second that one forwarder takes on."""
+FORWARDER_BACKLOG = round(BACKLOG / FORWARDERS)
+"""Messages that one forwarder holds, if the backlog lies evenly."""
+DOWN_DESTINATIONS = round(DESTINATIONS * DOWN_SHARE)
+"""Destinations that are down at any time."""
+
+# Assumed: the operators stated no allowance for messages themselves
+
+MACHINE_CORES = 10
+"""Cores of a forwarder's machine, assumed: one of the size that the figures are measured on."""
+MACHINE_BYTES = 24 * 2**30
+"""Memory of a forwarder's machine, assumed: one of the size that the figures are measured on."""
+JOURNAL_BYTES = 250 * 10**9
+"""Disk of a forwarder's machine, assumed: one of the size that the figures are measured on."""
+"""(TERMS states 32 to 192 MB and a journal of 3 MB, for the bench's days of a few thousand messages.)"""
+FORWARDER_CORES = 1.0
+"""Cores that a forwarder's messages may take, assumed: the process runs one event loop, thus one core."""
+READY_S = 10.0
+"""Seconds from start to ready: FLEET's bound for nine in ten restarted forwarders, whatever they hold."""
--- /dev/null
+++ b/tests/test_scale_frame.py
@@ -0,0 +1,76 @@
+"""The frame of `measure.scale`: shapes are told apart, and runs replace only their own entry."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from measure.scale import results
+from measure.scale.__main__ import discover, main
+from measure.scale.fit import Shape, fit
+from measure.scale.growth import grow, sizes_by
+from measure.scale.results import Entry, Origin, Point, Series
+from measure.scale.target import Role
+
+SIZES = (100, 1_000, 10_000, 100_000)
+ORIGIN = Origin("0123abc", "python -m measure.scale x", "2 cores", "2026-01-01T00:00:00Z")
+
+
+def series(of: Callable[[float], float], name: str = "cost", sizes: tuple[int, ...] = SIZES) -> Series:
+    points = tuple(Point(n, (of(n) * 0.97, of(n), of(n) * 1.04)) for n in sizes)
+    return Series(name, Role.MESSAGE_PATH, "message", "us", points, "largest size wanted")
+
+
+@pytest.mark.parametrize(("shape", "of"), [
+    (Shape.CONSTANT, lambda n: 7.0),
+    (Shape.LOGARITHM, lambda n: 3 * n.bit_length()),
+    (Shape.LINEAR, lambda n: 50 + 2 * n),
+    (Shape.LOG_LINEAR, lambda n: n * n.bit_length()),
+    (Shape.QUADRATIC, lambda n: 10 + n * n / 100),
+])
+def test_fit_tells_shapes_apart(shape: Shape, of: Callable[[float], float]) -> None:
+    found = fit(series(of))
+    assert found.shape is shape
+    at_target = found.at(1_000_000)
+    assert at_target.middle == pytest.approx(of(1_000_000), rel=0.1)
+    assert at_target.least < at_target.middle < at_target.most
+    assert found.slope.least < found.slope.middle < found.slope.most
+
+
+def test_fit_names_no_shape_where_none_is_plain() -> None:
+    steps = dict(zip(SIZES, (1.0, 50.0, 55.0, 4_000.0), strict=True))
+    assert fit(series(steps.__getitem__)).shape is None
+    few = fit(series(lambda n: 2 * n, sizes=SIZES[:2]))
+    assert few.shape is None
+    assert "not plain" in few.describe(series(lambda n: 2 * n))
+    assert few.at(10_000).middle == pytest.approx(20_000)  # the last step goes on
+
+
+def test_growth_stops_at_its_bounds() -> None:
+    told: list[str] = []
+    whole = grow(sizes_by(10, 10, 500), lambda n: {"twice": 2.0 * n}, told.append, repeats=2)
+    assert [point.size for point in whole.of("twice")] == [10, 100, 500]
+    assert whole.bound == "largest size wanted" and len(told) == 3
+    held = grow((1, 2, 3), lambda n: {"bytes": 1e15}, told.append, repeats=1, memory=lambda run: run["bytes"])
+    assert len(held.of("bytes")) == 1 and held.bound.startswith("memory: size 2")
+    late = grow((1, 2), lambda n: {"one": 1.0}, told.append, repeats=1, point_s=0.0)
+    assert late.bound.startswith("time: size 2")
+
+
+def test_a_run_replaces_only_its_own_entry(tmp_path: Path) -> None:
+    path = tmp_path / "results.json"
+    first, other = (Entry(name, ORIGIN, (series(float, name),)) for name in ("first", "other"))
+    results.merge([first, other], path)
+    again = Entry("first", ORIGIN, (series(lambda n: 5.0, "first"),))
+    results.merge([again], path)
+    assert results.load(path) == {"first": again, "other": other}
+    found = results.find(results.load(path), "other")
+    assert found and found.series == other.series[0] and found.origin == ORIGIN
+
+
+def test_measurements_are_found_and_named(capsys: pytest.CaptureFixture[str]) -> None:
+    main(["--list"])
+    listed = capsys.readouterr().out.splitlines()
+    assert [line.split(":")[0] for line in listed] == list(discover())
+    with pytest.raises(SystemExit):
+        main(["no such measurement"])
