--- /dev/null
+++ b/measure/scale/message_traffic.py
@@ -0,0 +1,176 @@
+"""A simulated forwarder's day for `choice.Dispatcher`: messages arrive, calls end, timers come due.
+
+Only public events go in and actions come out, so that it runs on any way the dispatcher keeps its books.
+Time is simulated (integer microseconds); the processor time of `handle` alone is counted.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
+from measure.scale import target
+
+MILLISECOND = 1_000
+SECOND = 1_000_000
+ROUND_US = MILLISECOND
+"""Rounds are so far apart: what the event loop gathers in one turn."""
+CALL_US = 20 * MILLISECOND
+"""How long a call to a sound endpoint takes."""
+REFUSED_US = MILLISECOND
+"""How long a call to an endpoint that is down takes."""
+SLOTS = 4_096
+HOUR_US = 3_600 * SECOND
+
+FREE = i.MessageClass("free", SECOND, HOUR_US, late_worth=1.0)
+ORDERED = i.MessageClass("ordered", SECOND, HOUR_US, in_order=True, late_worth=1.0)
+"""Neither gives way to fresh messages nor runs out of time while it is measured."""
+KEY_MESSAGES = 10
+"""Messages that share an order key."""
+
+
+def settings() -> i.Settings:
+    """A forwarder's settings in the target's fleet."""
+    return i.Settings(
+        slots=SLOTS,
+        classes=(FREE, ORDERED),
+        balancers=target.FORWARDERS,
+        max_open=100_000_000,
+        may_cancel=True,
+        retry_after=True,
+        max_retry_after_us=3 * SECOND,
+        overload_factor=1.5,
+        fall_us=2 * SECOND,
+        cold_from=0.2,
+        warm_us=2 * SECOND,
+        dial_timeout_us=SECOND,
+        conn_idle_us=5 * SECOND,
+    )
+
+
+@dataclass(slots=True)
+class Spent:
+    """What a stretch of simulated time took."""
+
+    processor_s: float = 0.0
+    simulated_us: int = 0
+    events: int = 0
+
+    @property
+    def event_us(self) -> float:
+        """Processor time an event."""
+        return self.processor_s / max(1, self.events) * SECOND
+
+    @property
+    def core_share(self) -> float:
+        """Cores that the simulated time would keep busy."""
+        return self.processor_s / (self.simulated_us / SECOND)
+
+
+class Traffic:
+    """One dispatcher with an endpoint for each destination, numbered alike from 0.
+
+    Calls to `down` destinations are refused, those to `silent` ones never end. Of fresh messages the target's
+    share is for those that are down, or all where none is sound.
+    """
+
+    def __init__(
+        self, destinations: int, down: Collection[int] = (), silent: Collection[int] = (), seed: int = 0
+    ) -> None:
+        self.down, self.silent = sorted(down), frozenset(silent)
+        apart = frozenset(down) | self.silent
+        self.sound = [n for n in range(destinations) if n not in apart]
+        self.refusing = frozenset(down)
+        self.random = random.Random(seed)
+        self.now = SECOND
+        self.dispatcher = Dispatcher(settings(), seed, self.now)
+        self.attempts: dict[str, int] = {}
+        self.pending: list[tuple[int, int, i.Event]] = []
+        self.order = itertools.count()
+        self.names = itertools.count()
+        self.ended: dict[str, int] = {}
+        """How many messages were given up, by what was decided."""
+        entries = tuple(i.TargetEntry(n, n) for n in range(destinations))
+        self.decide([i.Listed(i.ListKind.WHOLE, entries)])
+
+    def arrival(self, destination: int, keyed: bool = False) -> i.Arrived:
+        number = next(self.names)
+        cls = ORDERED if keyed else FREE
+        key = f"{destination}/{number // KEY_MESSAGES}" if keyed else None
+        return i.Arrived(f"{number:016x}", destination, cls.name, self.now + HOUR_US, key)
+
+    def recollection(self, destination: int) -> i.Recalled:
+        number = next(self.names)
+        return i.Recalled(f"{number:016x}", destination, FREE.name, self.now + HOUR_US)
+
+    def hold(self, messages: int, keyed: bool = False) -> None:
+        """Let messages for the destinations that are down arrive in one round."""
+        where = itertools.cycle(self.down)
+        self.decide(self.arrival(next(where), keyed) for _ in range(messages))
+
+    def decide(self, events: Iterable[i.Event], spent: Spent | None = None) -> None:
+        """One round: hand the events over and do what is decided."""
+        began = time.process_time()
+        actions = self.dispatcher.handle(self.now, events)
+        if spent is not None:
+            spent.processor_s += time.process_time() - began
+        for action in actions:
+            match action:
+                case i.Send():
+                    self.send(action)
+                case i.SetTimer():
+                    self.later(action.delay_us, i.TimerDue(action.token))
+                case i.Cancel():
+                    self.later(REFUSED_US, i.Ended(action.message, action.attempt, 0, i.Outcome.CANCELED, 0))
+                case i.Refuse() | i.Fail():
+                    self.ended[action.cause] = self.ended.get(action.cause, 0) + 1
+
+    def send(self, action: i.Send) -> None:
+        attempt = self.attempts.get(action.message, 0)
+        self.attempts[action.message] = attempt + 1
+        if action.target in self.silent:
+            return
+        refused = action.target in self.refusing
+        outcome, took = (i.Outcome.NO_CONNECTION, REFUSED_US) if refused else (i.Outcome.DELIVERED, CALL_US)
+        self.later(took, i.Ended(action.message, attempt, action.target, outcome, took))
+        if not refused:
+            del self.attempts[action.message]
+
+    def fresh_destination(self) -> int:
+        down = not self.sound or (self.down and self.random.random() < target.DOWN_SHARE)
+        return self.random.choice(self.down if down else self.sound)
+
+    def later(self, delay_us: int, event: i.Event) -> None:
+        heapq.heappush(self.pending, (self.now + delay_us, next(self.order), event))
+
+    def due(self) -> list[i.Event]:
+        events = []
+        while self.pending and self.pending[0][0] <= self.now:
+            events.append(heapq.heappop(self.pending)[2])
+        return events
+
+    def run(
+        self, simulated_us: int, processor_s: float, least_us: int, per_s: float = target.FORWARDER_PER_S
+    ) -> Spent:
+        """Fresh messages, `per_s` of them, for `simulated_us`. Where that takes
+        over `processor_s` of processor time it ends sooner, after `least_us` at the earliest."""
+        spent, began, arrived = Spent(), self.now, 0
+        while spent.simulated_us < simulated_us and (
+            spent.processor_s < processor_s or spent.simulated_us < least_us
+        ):
+            self.now += ROUND_US
+            spent.simulated_us = self.now - began
+            events = self.due()
+            while arrived < per_s * spent.simulated_us / SECOND:
+                events.append(self.arrival(self.fresh_destination()))
+                arrived += 1
+            if events:
+                spent.events += len(events)
+                self.decide(events, spent)
+        return spent
--- a/measure/scale/results.py
+++ b/measure/scale/results.py
@@ -21,6 +21,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 RESULTS = Path(__file__).resolve().parent / "results.json"
+MEASURED = ("lemonshunt", "measure", f":!{RESULTS.relative_to(ROOT)}")
+"""What a figure depends on."""
 PLAIN_FIELDS = ("name", "role", "size_unit", "value_unit", "bound")
 
 
@@ -82,7 +84,7 @@
     """Where figures come from."""
 
     commit: str
-    """Short hash; `+` follows it where files of the program differed from the commit."""
+    """Short hash; `+` follows it where what is measured, or measures, differed from the commit."""
     command: str
     machine: str
     at: str
@@ -123,7 +125,7 @@
 
 
 def origin(command: str) -> Origin:
-    changed = "+" if git("status", "--porcelain", "--", "lemonshunt") else ""
+    changed = "+" if git("status", "--porcelain", "--", *MEASURED) else ""
     now = datetime.now(UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
     return Origin(git("rev-parse", "--short=7", "HEAD") + changed, command, machine(), now)
 
