--- a/measure/scale/__main__.py
+++ b/measure/scale/__main__.py
@@ -47,9 +47,9 @@
     """Run one measurement and keep what it gave."""
     print(f"{measurement.name}: {measurement.summary}", flush=True)
     began = time.perf_counter()
+    origin = results.origin(f"python -m measure.scale {measurement.name}")
     series = tuple(measurement.run(lambda line: print(f"  {line}", flush=True)))
-    command = f"python -m measure.scale {measurement.name}"
-    results.merge([Entry(measurement.name, results.origin(command), series)], path)
+    results.merge([Entry(measurement.name, origin, series)], path)
     for one in series:
         show(one)
     print(f"  took {time.perf_counter() - began:.0f} s")
