--- a/measure/scale/growth.py
+++ b/measure/scale/growth.py
@@ -6,6 +6,7 @@
 import multiprocessing
 import time
 from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -73,5 +74,6 @@
 
 def isolated(function: Callable[..., Result], *arguments: Any) -> Result:
     """Call a module's function in a fresh process, so that nothing before it counts in its memory."""
-    with multiprocessing.get_context("spawn").Pool(1) as pool:
-        return pool.apply(function, arguments)
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(max_workers=1, mp_context=context) as pool:
+        return pool.submit(function, *arguments).result()
--- /dev/null
+++ b/measure/scale/journal_growth.py
@@ -0,0 +1,184 @@
+"""What the journal writes, keeps in memory and reads against live messages and listed endpoints."""
+
+from __future__ import annotations
+
+import gc
+import tempfile
+import time
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+
+from lemonshunt import interface as i
+from lemonshunt.net.store import Rules, Store, Taken
+from measure.scale import target
+from measure.scale.growth import grow, isolated, sizes_by
+from measure.scale.memory import peak_bytes, resident_bytes
+from measure.scale.results import Measurement, Progress, Series
+from measure.scale.target import Role
+
+LIVE = sizes_by(250, 4, 1_000_000)
+ENDPOINTS = sizes_by(100, 4, target.DESTINATIONS)
+DISK_BYTES = 10**12
+BODY = b"x" * 200
+NOW_US = 1_700_000_000_000_000
+DUE_US = NOW_US + 3_600_000_000
+FREE = i.MessageClass("free", 1_000_000, 3_600_000_000)
+HOST = "s-5be2a07c"
+FLUSH_EACH = 3
+"""Messages in a round, where one after another passes through."""
+LIST_CHANGES = 10
+
+
+def taken(number: int) -> Taken:
+    name = f"{number:016x}"
+    return Taken(name, FREE.name, number % target.DESTINATIONS, DUE_US, name * 2, None, BODY)
+
+
+def opened(folder: Path) -> Store:
+    store = Store(folder, DISK_BYTES)
+    store.settle(Rules(8, (FREE,)))
+    return store
+
+
+def filled(folder: Path, live: int) -> Store:
+    """A journal with so many live messages, each tried once."""
+    store = opened(folder)
+    for number in range(live):
+        message = taken(number)
+        store.take(message)
+        store.attempt(message, 0, NOW_US, HOST)
+        store.outcome(message, 0, True)
+        if number % 1_000 == 0:
+            store.flush()
+    store.flush()
+    return store
+
+
+def checkpoint(live: int) -> Mapping[str, float]:
+    """One rewriting of all that lives, and reading it again."""
+    with tempfile.TemporaryDirectory() as name:
+        store = filled(Path(name), live)
+        gc.collect()
+        held = resident_bytes()
+        began = time.process_time()
+        store.compact()
+        spent = time.process_time() - began
+        size, peak = store.size, peak_bytes()
+        store.close()
+        read = isolated(recover, name)
+    return {"seconds": spent, "size": float(size), "held": float(held), "peak": float(peak), **read}
+
+
+def recover(folder: str) -> Mapping[str, float]:
+    """Reading a journal at a start."""
+    began = time.process_time()
+    store = Store(Path(folder), DISK_BYTES, write=False)
+    spent = time.process_time() - began
+    if store.report.damaged or not store.messages:
+        raise RuntimeError(store.report.line())
+    return {"read_s": spent, "read_peak": float(peak_bytes())}
+
+
+CHECKPOINT = (
+    ("seconds", "processor time of a checkpoint", "s"),
+    ("size", "size of a checkpoint", "byte"),
+    ("held", "memory of a process with a journal alone", "byte"),
+    ("peak", "most memory while a checkpoint is written", "byte"),
+    ("read_s", "processor time to read it at a start", "s"),
+    ("read_peak", "most memory while it is read at a start", "byte"),
+)
+
+
+def checkpoint_series(progress: Progress) -> Iterator[Series]:
+    growth = grow(
+        LIVE, lambda live: isolated(checkpoint, live), progress, memory=lambda run: run["peak"]
+    )
+    for name, title, unit in CHECKPOINT:
+        yield Series(
+            f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound
+        )
+
+
+def passing(live: int) -> Mapping[str, float]:
+    """Messages pass through beside live ones, from one rewriting until the next but one."""
+    with tempfile.TemporaryDirectory() as name:
+        store = filled(Path(name), live)
+        store.compact()
+        bytes_before, rewrites_before = store.log.bytes, store.log.rewrites
+        passed = 0
+        began = time.process_time()
+        while store.log.rewrites < rewrites_before + 2:
+            for number in range(live + passed, live + passed + FLUSH_EACH):
+                message = taken(number)
+                store.take(message)
+                store.attempt(message, 0, NOW_US, HOST)
+            store.flush()
+            for number in range(live + passed, live + passed + FLUSH_EACH):
+                store.over(f"{number:016x}")
+            store.flush()
+            passed += FLUSH_EACH
+        spent = time.process_time() - began
+        written = store.log.bytes - bytes_before
+        store.close()
+    return {"bytes": written / passed, "message": spent / passed * 1e6}
+
+
+def passing_series(progress: Progress) -> Iterator[Series]:
+    growth = grow(LIVE, lambda live: isolated(passing, live), progress)
+    for name, title, unit in (
+        ("bytes", "bytes written a message, rewriting included", "byte"),
+        ("message", "processor time a message, rewriting included", "us"),
+    ):
+        yield Series(
+            f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound
+        )
+
+
+def endpoint(number: int) -> dict[str, object]:
+    """An endpoint as discovery tells it."""
+    return {
+        "host": f"s-{number:08x}",
+        "dial": "10.1.2.3:8080",
+        "site": "a",
+        "class": "plain",
+        "block": number,
+        "health": "up",
+        "share": 100.0,
+        "born_ms": 0,
+    }
+
+
+def list_changes(endpoints: int) -> Mapping[str, float]:
+    """Changes of the list, each of one endpoint."""
+    hosts = {str(told["host"]): told for told in map(endpoint, range(endpoints))}
+    with tempfile.TemporaryDirectory() as name:
+        store = opened(Path(name))
+        before = store.log.bytes
+        began = time.process_time()
+        for version in range(LIST_CHANGES):
+            store.list(version, hosts, NOW_US, "127.0.0.1:1")
+            store.flush()
+        spent = time.process_time() - began
+        written = store.log.bytes - before
+        store.close()
+        record = float(store.list_size)
+    return {"bytes": written / LIST_CHANGES, "seconds": spent / LIST_CHANGES, "record": record}
+
+
+def list_series(progress: Progress) -> Iterator[Series]:
+    growth = grow(ENDPOINTS, lambda endpoints: isolated(list_changes, endpoints), progress)
+    for name, title, unit in (
+        ("bytes", "bytes written a change of the list, rewriting included", "byte"),
+        ("seconds", "processor time a change of the list, rewriting included", "s"),
+        ("record", "size of the list's record", "byte"),
+    ):
+        yield Series(
+            f"journal: {title}", Role.JOURNAL, "listed endpoint", unit, growth.of(name), growth.bound
+        )
+
+
+MEASUREMENTS = (
+    Measurement("journal-checkpoint", "rewriting and reading all that lives", checkpoint_series),
+    Measurement("journal-passing", "messages that pass through beside live ones", passing_series),
+    Measurement("journal-list", "changes of the list of endpoints", list_series),
+)
--- /dev/null
+++ b/measure/scale/message_list.py
@@ -0,0 +1,52 @@
+"""What listed endpoints cost a dispatcher: to take the list, to change one, in memory and at each event."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Iterator, Mapping
+
+from lemonshunt import interface as i
+from measure.scale import target
+from measure.scale.growth import grow, isolated, sizes_by
+from measure.scale.memory import resident_bytes
+from measure.scale.message_traffic import MILLISECOND, SECOND, Spent, Traffic
+from measure.scale.results import Measurement, Progress, Series
+from measure.scale.target import Role
+
+ENDPOINTS = sizes_by(100, 4, target.DESTINATIONS)
+CHANGES = 20
+TRAFFIC_S = 6.0
+
+
+def listed(endpoints: int) -> Mapping[str, float]:
+    """Traffic, then changes of the list, each of one endpoint."""
+    traffic = Traffic(endpoints)
+    gc.collect()
+    memory = resident_bytes()
+    traffic.run(300 * MILLISECOND, TRAFFIC_S, SECOND)
+    event = traffic.run(SECOND, TRAFFIC_S, SECOND)
+    change = Spent()
+    for number in range(CHANGES):
+        state = i.TargetState.SERVING if number % 2 else i.TargetState.DRAINING
+        entry = i.TargetEntry(number // 2, number // 2, state=state)
+        traffic.decide([i.Listed(i.ListKind.CHANGES, (entry,))], change)
+    return {
+        "event": event.event_us,
+        "change": change.processor_s / CHANGES,
+        "memory": float(memory),
+    }
+
+
+def series(progress: Progress) -> Iterator[Series]:
+    growth = grow(ENDPOINTS, lambda endpoints: isolated(listed, endpoints), progress)
+    for name, role, title, unit in (
+        ("event", Role.MESSAGE_PATH, "processor time an event, endpoints listed", "us"),
+        ("change", Role.CONTROL_PART, "processor time a change of the list", "s"),
+        ("memory", Role.CONTROL_PART, "memory of a process with a list alone", "byte"),
+    ):
+        yield Series(
+            f"dispatcher: {title}", role, "listed endpoint", unit, growth.of(name), growth.bound
+        )
+
+
+MEASUREMENTS = (Measurement("message-list", "decisions and changes against listed endpoints", series),)
--- a/measure/scale/message_traffic.py
+++ b/measure/scale/message_traffic.py
@@ -99,20 +99,20 @@
         entries = tuple(i.TargetEntry(n, n) for n in range(destinations))
         self.decide([i.Listed(i.ListKind.WHOLE, entries)])
 
-    def arrival(self, destination: int, keyed: bool = False) -> i.Arrived:
+    def arrival(self, destination: int, keyed: bool = False, age_us: int = 0) -> i.Arrived:
         number = next(self.names)
         cls = ORDERED if keyed else FREE
         key = f"{destination}/{number // KEY_MESSAGES}" if keyed else None
-        return i.Arrived(f"{number:016x}", destination, cls.name, self.now + HOUR_US, key)
+        return i.Arrived(f"{number:016x}", destination, cls.name, self.now + HOUR_US - age_us, key)
 
     def recollection(self, destination: int) -> i.Recalled:
         number = next(self.names)
         return i.Recalled(f"{number:016x}", destination, FREE.name, self.now + HOUR_US)
 
     def hold(self, messages: int, keyed: bool = False) -> None:
-        """Let messages for the destinations that are down arrive in one round."""
+        """Let messages for the destinations that are down arrive in one round, all past their aim."""
         where = itertools.cycle(self.down)
-        self.decide(self.arrival(next(where), keyed) for _ in range(messages))
+        self.decide(self.arrival(next(where), keyed, 2 * FREE.aim_us) for _ in range(messages))
 
     def decide(self, events: Iterable[i.Event], spent: Spent | None = None) -> None:
         """One round: hand the events over and do what is decided."""
