--- /dev/null
+++ b/measure/scale/message_load.py
@@ -0,0 +1,105 @@
+"""Load for one forwarder on loopback: clients that hand messages in at a steady rate, and endpoints that take
+every call. Each runs in a process of its own, so that the forwarder's processor time is its own alone."""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+import time
+from collections import deque
+from multiprocessing.connection import Connection
+from multiprocessing.process import BaseProcess
+from multiprocessing.sharedctypes import Synchronized
+
+CONNECTIONS = 64
+TICK_S = 0.005
+BODY = b"x" * 200
+HEAD_END = b"\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+class Endpoint(asyncio.Protocol):
+    """Answers each request with 200 as soon as its head is there; bodies have no empty line."""
+
+    def __init__(self, delivered: Synchronized[int]) -> None:
+        self.delivered, self.tail = delivered, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        text = self.tail + data
+        calls = text.count(HEAD_END)
+        self.tail = text[-3:] if not text.endswith(HEAD_END) else b""
+        if calls:
+            self.delivered.value += calls
+            self.transport.write(OK * calls)
+
+
+class Client(asyncio.Protocol):
+    """One connection; it is idle until it hands a message in, and again from the answer on."""
+
+    def __init__(self, idle: deque[Client], taken: Synchronized[int]) -> None:
+        self.idle, self.taken = idle, taken
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.idle.append(self)
+
+    def data_received(self, data: bytes) -> None:
+        if data.startswith(b"HTTP/1.1 202"):
+            self.taken.value += 1
+        if HEAD_END in data:
+            self.idle.append(self)
+
+
+def request(number: int, destinations: int) -> bytes:
+    head = (
+        f"POST /status HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: m{number}\r\nX-Account: acme\r\n"
+        f"X-Time-Left: 50\r\nIdempotency-Key: key-m{number}\r\nContent-Length: {len(BODY)}\r\n"
+        f"X-Addressing: dest={number % destinations}\r\n\r\n"
+    )
+    return head.encode() + BODY
+
+
+def serve_endpoints(ports: Connection, count: int, delivered: Synchronized[int]) -> None:
+    """Serve so many endpoints until the process is ended; their ports are told first."""
+
+    async def serve() -> None:
+        loop = asyncio.get_running_loop()
+        servers = [
+            await loop.create_server(lambda: Endpoint(delivered), "127.0.0.1", 0) for _ in range(count)
+        ]
+        ports.send([server.sockets[0].getsockname()[1] for server in servers])
+        await asyncio.Event().wait()
+
+    asyncio.run(serve())
+
+
+def hand_in(port: int, per_s: float, destinations: int, taken: Synchronized[int]) -> None:
+    """Hand messages in at the rate until the process is ended; what no connection is idle for is left out."""
+
+    async def drive() -> None:
+        loop = asyncio.get_running_loop()
+        idle: deque[Client] = deque()
+        for _ in range(CONNECTIONS):
+            await loop.create_connection(lambda: Client(idle, taken), "127.0.0.1", port)
+        began, planned, number = time.monotonic(), 0, 0
+        while True:
+            due = int((time.monotonic() - began) * per_s)
+            for _ in range(min(due - planned, len(idle))):
+                idle.popleft().transport.write(request(number, destinations))
+                number += 1
+            planned = due
+            await asyncio.sleep(TICK_S)
+
+    asyncio.run(drive())
+
+
+def start(function: object, *arguments: object) -> BaseProcess:
+    context = multiprocessing.get_context("spawn")
+    process = context.Process(target=function, args=arguments, daemon=True)  # type: ignore[arg-type]
+    process.start()
+    return process
