Keep a capacity page made from the runs: needs against allowances, sorted by ratio

What breaks first on the way to the target was not to be read anywhere.

docs/CAPACITY.md has its tables from measure/scale/results.json; target.py holds the target and each allowance with where it is from, needs.py and needs_control.py which series says what is needed, failures.py what failures cost. A test compares page and results. What was not measured is called so.

Some measurements still run; their rows say not measured.

--- /dev/null
+++ b/measure/scale/failures.py
@@ -0,0 +1,111 @@
+"""What each failure of the target costs at its peak, and what control then has to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from measure.scale import target
+from measure.scale.results import Entry, Found, find
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Something that goes wrong as a whole."""
+
+    what: str
+    forwarders: int
+    """That are gone at once."""
+    goes_on: str
+    """Who serves meanwhile, and what does not."""
+    control: tuple[tuple[str, str], ...]
+    """What to call a figure of control, and its series."""
+    held_back_per_s: float = 0.0
+    """Messages a second that are taken on and cannot be delivered meanwhile."""
+    for_s: float = 0.0
+    """How long that lasts."""
+
+
+SPLIT = f"split: 50% of the members cut off for {target.SPLIT_S:.0f} s"
+"""How the series of such a split begin."""
+FAILURES = (
+    Failure(
+        "two machines of a day, at once",
+        target.MACHINES_FAILED_PER_DAY,
+        "all others; what the two held waits for their disks: take-over is missing",
+        (),
+    ),
+    Failure(
+        "a day's restarts, one after another",
+        target.RESTARTS_AT_ONCE,
+        "all others; the restarted one reads its journal first",
+        (
+            ("join again, s", "failure: restart: seconds"),
+            ("others' leases lost", "failure: restart: others' leases lost"),
+        ),
+    ),
+    Failure(
+        "a rack or switch",
+        target.RACK_FORWARDERS,
+        "all others; what the rack held waits: take-over is missing",
+        (),
+    ),
+    Failure(
+        "a zone",
+        target.ZONE_FORWARDERS,
+        "the other zones; what the zone held waits: take-over is missing",
+        (
+            ("leases out, s", "failure: zone: lease seconds"),
+            ("shares moved, s", "failure: zone: share seconds"),
+            ("others' leases lost", "failure: zone: others' leases lost"),
+            ("beats a second", "failure: zone: beats"),
+        ),
+    ),
+    Failure(
+        "an hour of split regions",
+        0,
+        "each region for its own destinations; the rest is held",
+        (
+            ("share left on the service's side", f"{SPLIT}: part of the whole that the others have"),
+            ("heal to last share, s", f"{SPLIT}: seconds from the heal to the last share"),
+        ),
+        target.MESSAGES_PER_S * target.CROSSING_SHARE,
+        target.SPLIT_S,
+    ),
+    Failure(
+        "the control machine with the list service",
+        0,
+        "all forwarders on the last list; shares run to their reserve; a second list service is missing",
+        (
+            ("all leases renewed, s", "failure: service restart: seconds until all renewed"),
+            ("leases lost", "failure: service restart: leases lost"),
+        ),
+    ),
+    Failure(
+        "all of control",
+        0,
+        "all forwarders on the last list, with their reserve of each budget",
+        (
+            ("leases lost after 5 s away", "failure: service away 5 s: leases lost"),
+            ("all leases renewed, s", "failure: service away 5 s: seconds until all renewed"),
+        ),
+    ),
+)
+
+
+def lost_per_s(failure: Failure) -> float:
+    """Messages a second that the failed forwarders took, until clients go elsewhere."""
+    return failure.forwarders * target.FORWARDER_PER_S
+
+
+def others_per_s(failure: Failure) -> float:
+    """Messages a second that each other forwarder then takes, if all clients go elsewhere evenly."""
+    return target.MESSAGES_PER_S / (target.FORWARDERS - failure.forwarders)
+
+
+def held_messages(failure: Failure) -> float:
+    """Messages held that nobody can send meanwhile, or that come to be held."""
+    return failure.forwarders * target.FORWARDER_BACKLOG + failure.held_back_per_s * failure.for_s
+
+
+def control_figures(failure: Failure, entries: dict[str, Entry]) -> list[tuple[str, Found | None]]:
+    return [(label, find(entries, series)) for label, series in failure.control]
--- a/measure/scale/fit.py
+++ b/measure/scale/fit.py
@@ -78,21 +78,29 @@
     """The same shape fitted to each repeat alone."""
     last_exponent: float
     """Of the power law through the last two medians."""
-    last: Point
+    points: tuple[Point, ...]
+    """By rising size."""
+
+    @property
+    def last(self) -> Point:
+        return self.points[-1]
 
     @property
     def plain(self) -> bool:
         return self.shape is not None
 
     def at(self, size: float) -> Span:
-        """The value at another size. Where no shape is plain, the last two sizes' power law goes on."""
+        """The value at another size. Where no shape is plain it is between those of the sizes around it, and
+        past the largest the last two sizes' power law goes on."""
+        if self.shape is None and self.points[0].size <= size <= self.last.size:
+            return between(self.points, size)
         if self.shape is None:
             growth = (size / self.last.size) ** self.last_exponent if self.last.size else 1.0
             values = [value * growth for value in self.last.values]
             return Span(self.last.median * growth, min(values), max(values))
         middle = value_of(self.shape, self.line, size)
         values = [value_of(self.shape, line, size) for line in self.repeats] or [middle]
-        return Span(middle, min(values), max(values))
+        return Span(middle, min(middle, *values), max(middle, *values))
 
     def describe(self, series: Series) -> str:
         """The slope with its spread and the shape, in words."""
@@ -105,6 +113,17 @@
         return f"{slope.middle:.4g} ({slope.least:.4g} to {slope.most:.4g}){step}, {self.shape.value}"
 
 
+def between(points: Sequence[Point], size: float) -> Span:
+    """On the lines from point to point."""
+    after = next(n for n, point in enumerate(points) if point.size >= size)
+    above = points[after]
+    below = points[max(0, after - 1)]
+    part = (size - below.size) / (above.size - below.size) if above.size > below.size else 1.0
+    ends = [(below.median, above.median), (min(below.values), min(above.values))]
+    ends.append((max(below.values), max(above.values)))
+    return Span(*(start + part * (end - start) for start, end in ends))
+
+
 def value_of(shape: Shape, line: Line, size: float) -> float:
     if shape is Shape.CONSTANT:
         return line.base
@@ -166,11 +185,12 @@
         plain = error <= PLAIN_WITHIN and len(sizes) >= LEAST_SIZES
         shape = best if plain else None
     if shape is None:
-        return Fit(None, line, Span(0.0, 0.0, 0.0), error, (), last_exponent(points), points[-1])
+        return Fit(None, line, Span(0.0, 0.0, 0.0), error, (), last_exponent(points), tuple(points))
     repeats = tuple(
         fit_line(shape, sizes, [point.values[n] for point in points]) for n in range(series.repeats)
     )
     flat = shape is Shape.CONSTANT
     slopes = [one.base if flat else one.slope for one in repeats]
-    slope = Span(line.base if flat else line.slope, min(slopes), max(slopes))
-    return Fit(shape, line, slope, error, repeats, last_exponent(points), points[-1])
+    middle = line.base if flat else line.slope
+    slope = Span(middle, min(middle, *slopes), max(middle, *slopes))
+    return Fit(shape, line, slope, error, repeats, last_exponent(points), tuple(points))
--- a/measure/scale/journal_growth.py
+++ b/measure/scale/journal_growth.py
@@ -90,13 +90,9 @@
 
 
 def checkpoint_series(progress: Progress) -> Iterator[Series]:
-    growth = grow(
-        LIVE, lambda live: isolated(checkpoint, live), progress, memory=lambda run: run["peak"]
-    )
+    growth = grow(LIVE, lambda live: isolated(checkpoint, live), progress, memory=lambda run: run["peak"])
     for name, title, unit in CHECKPOINT:
-        yield Series(
-            f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound
-        )
+        yield Series(f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound)
 
 
 def passing(live: int) -> Mapping[str, float]:
@@ -129,9 +125,7 @@
         ("bytes", "bytes written a message, rewriting included", "byte"),
         ("message", "processor time a message, rewriting included", "us"),
     ):
-        yield Series(
-            f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound
-        )
+        yield Series(f"journal: {title}", Role.JOURNAL, "live message", unit, growth.of(name), growth.bound)
 
 
 def endpoint(number: int) -> dict[str, object]:
--- a/measure/scale/message_rate.py
+++ b/measure/scale/message_rate.py
@@ -1,4 +1,4 @@
-"""What one forwarder process takes on and delivers: the real program on loopback's sockets, at rising rates."""
+"""What one forwarder process takes on and delivers: the real program on sockets, at rising rates."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/measure/scale/needs.py
@@ -0,0 +1,323 @@
+"""What each role needs at the target's size: which series says it, what is allowed, and what carries it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from measure.scale import target
+from measure.scale.fit import Fit, Span, fit
+from measure.scale.results import Entry, Found, find
+from measure.scale.target import Role
+
+MISSING = "missing"
+
+
+class Kind(StrEnum):
+    """What is needed."""
+
+    STATE = "state"
+    MESSAGES = "messages"
+    PROCESSOR = "processor time"
+    MEMORY = "memory"
+    TIME = "time"
+
+
+class Source(StrEnum):
+    """Where an allowance comes from."""
+
+    STATED = "stated"
+    ASSUMED = "assumed"
+    CODE = "code"
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """One need: the sum of series at a size, times a rate."""
+
+    role: Role
+    kind: Kind
+    what: str
+    series: tuple[str, ...]
+    size: float
+    allowance: float
+    source: Source
+    unit: str
+    mechanism: str
+    """What carries it at that size, or `MISSING`."""
+    times: float = 1.0
+    """From a value of the series to the need: a rate, or a change of unit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """A series in a need, with its fit."""
+
+    found: Found
+    fit: Fit
+
+    def past_range(self, size: float) -> float:
+        """How many times the largest measured size."""
+        return size / self.found.series.range[1]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A need as far as it was measured."""
+
+    need: Need
+    uses: tuple[Use, ...]
+    value: Span | None
+    """None where a series was not measured."""
+
+    @property
+    def ratio(self) -> float | None:
+        return self.value.middle / self.need.allowance if self.value else None
+
+
+def answer(need: Need, entries: dict[str, Entry]) -> Answer:
+    found = [find(entries, name) for name in need.series]
+    uses = tuple(Use(one, fit(one.series)) for one in found if one is not None)
+    if not uses or len(uses) < len(found):
+        return Answer(need, uses, None)
+    spans = [use.fit.at(need.size) for use in uses]
+    middle = sum(span.middle for span in spans) * need.times
+    least = sum(span.least for span in spans) * need.times
+    most = sum(span.most for span in spans) * need.times
+    return Answer(need, uses, Span(middle, least, most))
+
+
+HELD = float(target.FORWARDER_BACKLOG)
+US = 1e-6
+MS = 1e-3
+
+
+def dispatcher(title: str, pattern: str) -> tuple[str]:
+    return (f"dispatcher: {title}, held in {pattern} of the destinations",)
+
+
+MESSAGE_NEEDS = (
+    Need(
+        Role.MESSAGE_PATH,
+        Kind.PROCESSOR,
+        "whole forwarder, nothing held",
+        ("forwarder: processor time a message",),
+        target.FORWARDER_PER_S,
+        target.FORWARDER_CORES,
+        Source.ASSUMED,
+        "core",
+        "one event loop",
+        target.FORWARDER_PER_S * US,
+    ),
+    *(
+        Need(
+            Role.MESSAGE_PATH,
+            Kind.PROCESSOR,
+            f"decisions, backlog in {where}",
+            dispatcher("cores at 1,000 messages a second", pattern),
+            HELD,
+            target.FORWARDER_CORES,
+            Source.ASSUMED,
+            "core",
+            mechanism,
+        )
+        for pattern, where, mechanism in (
+            ("one", "one destination", MISSING),
+            ("3.2%", "3.2% of destinations", MISSING),
+            ("all", "all destinations", MISSING),
+        )
+    ),
+    Need(
+        Role.MESSAGE_PATH,
+        Kind.PROCESSOR,
+        "decisions, ordered backlog in 3.2% of destinations",
+        ("dispatcher: cores at 1,000 messages a second, held in 3.2% of the destinations, with order keys",),
+        HELD,
+        target.FORWARDER_CORES,
+        Source.ASSUMED,
+        "core",
+        MISSING,
+    ),
+    Need(
+        Role.MESSAGE_PATH,
+        Kind.PROCESSOR,
+        "decisions, calls out",
+        ("dispatcher: cores at 1,000 messages a second, calls out",),
+        target.CALLS_OUT,
+        target.FORWARDER_CORES,
+        Source.ASSUMED,
+        "core",
+        "all attempts are walked each round",
+    ),
+    Need(
+        Role.MESSAGE_PATH,
+        Kind.MEMORY,
+        "held messages, the dispatcher's part",
+        dispatcher("memory of a process with a dispatcher alone", "3.2%"),
+        HELD,
+        target.MACHINE_BYTES,
+        Source.ASSUMED,
+        "byte",
+        "one record a message in memory",
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.MEMORY,
+        "held messages, the journal's part",
+        ("journal: memory of a process with a journal alone",),
+        HELD,
+        target.MACHINE_BYTES,
+        Source.ASSUMED,
+        "byte",
+        "bodies kept in memory",
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.MEMORY,
+        "while a checkpoint is written",
+        ("journal: most memory while a checkpoint is written",),
+        HELD,
+        target.MACHINE_BYTES,
+        Source.ASSUMED,
+        "byte",
+        MISSING,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.TIME,
+        "the loop stands still for a checkpoint",
+        ("journal: processor time of a checkpoint",),
+        HELD,
+        target.PAUSE_S,
+        Source.ASSUMED,
+        "s",
+        MISSING,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.TIME,
+        "reading the journal at a start",
+        ("journal: processor time to read it at a start",),
+        HELD,
+        target.READY_S,
+        Source.STATED,
+        "s",
+        MISSING,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.TIME,
+        "start of the real program until ready",
+        ("forwarder: time until ready",),
+        HELD,
+        target.READY_S,
+        Source.STATED,
+        "s",
+        MISSING,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.PROCESSOR,
+        "recalling what was held in 3.2% of destinations",
+        dispatcher("processor time until all are recalled", "3.2%"),
+        HELD,
+        target.READY_S,
+        Source.STATED,
+        "s",
+        "in batches after ready; each look sorts the pile",
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.STATE,
+        "live messages on disk, twice while rewritten",
+        ("journal: size of a checkpoint",),
+        HELD,
+        target.MACHINE_DISK_BYTES,
+        Source.ASSUMED,
+        "byte",
+        "one file, rewritten beside the old one",
+        2.0,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.MESSAGES,
+        "bytes written a second",
+        ("journal: bytes written a message, rewriting included",),
+        HELD,
+        target.JOURNAL_BYTES_PER_S,
+        Source.ASSUMED,
+        "byte/s",
+        "appended records",
+        target.FORWARDER_PER_S,
+    ),
+    Need(
+        Role.JOURNAL,
+        Kind.PROCESSOR,
+        "writing at 1,000 messages a second",
+        ("journal: processor time a message, rewriting included",),
+        HELD,
+        target.FORWARDER_CORES,
+        Source.ASSUMED,
+        "core",
+        "appended records",
+        target.FORWARDER_PER_S * US,
+    ),
+    Need(
+        Role.CONFIGURATION,
+        Kind.STATE,
+        "the list of endpoints as one record of the journal",
+        ("journal: size of the list's record",),
+        target.DESTINATIONS,
+        target.RECORD_BYTES,
+        Source.CODE,
+        "byte",
+        MISSING,
+    ),
+    Need(
+        Role.CONFIGURATION,
+        Kind.MESSAGES,
+        "bytes to disk a second for changes of the list",
+        ("journal: bytes written a change of the list, rewriting included",),
+        target.DESTINATIONS,
+        target.JOURNAL_BYTES_PER_S,
+        Source.ASSUMED,
+        "byte/s",
+        "the whole list for each change",
+        target.LIST_CHANGES_PER_S,
+    ),
+    Need(
+        Role.CONTROL_PART,
+        Kind.PROCESSOR,
+        "journaling changes of the list",
+        ("journal: processor time a change of the list, rewriting included",),
+        target.DESTINATIONS,
+        target.CONTROL_CORE_SHARE,
+        Source.STATED,
+        "core",
+        MISSING,
+        target.LIST_CHANGES_PER_S,
+    ),
+    Need(
+        Role.CONTROL_PART,
+        Kind.PROCESSOR,
+        "the dispatcher's changes of the list",
+        ("dispatcher: processor time a change of the list",),
+        target.DESTINATIONS,
+        target.CONTROL_CORE_SHARE,
+        Source.STATED,
+        "core",
+        "all targets are sorted for each change",
+        target.LIST_CHANGES_PER_S,
+    ),
+    Need(
+        Role.CONTROL_PART,
+        Kind.MEMORY,
+        "the dispatcher's list of endpoints, with its process",
+        ("dispatcher: memory of a process with a list alone",),
+        target.DESTINATIONS,
+        target.CONTROL_BYTES,
+        Source.STATED,
+        "byte",
+        "one record an endpoint",
+    ),
+)
--- /dev/null
+++ b/measure/scale/page.py
@@ -0,0 +1,199 @@
+"""Writes the tables of `docs/CAPACITY.md` from the kept results, each between its markers.
+
+    python -m measure.scale.page [--check]
+
+With `--check` nothing is written; the exit status says whether the page has what the results give.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from collections.abc import Callable, Iterable, Sequence
+
+from measure.scale import results, target
+from measure.scale.failures import FAILURES, Failure, control_figures, held_messages, lost_per_s, others_per_s
+from measure.scale.fit import Span, fit
+from measure.scale.needs import MESSAGE_NEEDS, Answer, Kind, Need, Use, answer
+from measure.scale.needs_control import CONTROL_NEEDS
+from measure.scale.results import Entry, find
+from measure.scale.target import Role
+
+PAGE = results.ROOT / "docs" / "CAPACITY.md"
+NOT_MEASURED = "not measured"
+RATE_SERIES = "forwarder: processor time a message"
+BLOCK = re.compile(r"(<!-- table: (?P<name>[a-z]+) -->\n).*?(<!-- end of table -->)", re.S)
+NEEDS: tuple[Need, ...] = MESSAGE_NEEDS + CONTROL_NEEDS
+
+
+def number(value: float) -> str:
+    """A figure with three digits, and the letter of its size."""
+    for factor, letter in ((1e12, "T"), (1e9, "G"), (1e6, "M"), (1e3, "k")):
+        if abs(value) >= factor * 0.9995:
+            return f"{value / factor:.3g} {letter}"
+    return f"{value:.3g}"
+
+
+def quantity(value: float, unit: str) -> str:
+    text = number(value)
+    return f"{text}{'B' + unit[4:] if unit.startswith('byte') else ' ' + unit}".replace("  ", " ")
+
+
+def spread(span: Span) -> str:
+    return f"{number(span.least)} to {number(span.most)}"
+
+
+def table(heads: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    lines = [heads, ["---"] * len(heads), *rows]
+    return "".join(f"| {' | '.join(line)} |\n" for line in lines)
+
+
+def grounds(found: Answer) -> str:
+    """How far the need lies past what was measured, and whether the shape there was seen."""
+    if found.value is None:
+        return NOT_MEASURED
+    past = max(use.past_range(found.need.size) for use in found.uses)
+    shapes = ", ".join(dict.fromkeys(shape_of(use) for use in found.uses))
+    if past <= 1:
+        return f"within the range; {shapes}"
+    return f"{past:.3g} x past the range; {shapes}, assumed to go on"
+
+
+def shape_of(use: Use) -> str:
+    return use.fit.shape.value if use.fit.shape is not None else "not plain"
+
+
+def allowance(need: Need) -> str:
+    return f"{quantity(need.allowance, need.unit)} ({need.source})"
+
+
+def ordered(entries: dict[str, Entry]) -> list[Answer]:
+    """The largest ratio first; what was not measured last."""
+    answers = [answer(need, entries) for need in NEEDS]
+    return sorted(answers, key=lambda found: -(found.ratio if found.ratio is not None else -1.0))
+
+
+def first_table(entries: dict[str, Entry]) -> str:
+    rows = []
+    for found in ordered(entries):
+        need, value = found.need, found.value
+        rows.append(
+            (
+                number(found.ratio) if found.ratio is not None else "-",
+                f"{need.role}: {need.what}",
+                f"{quantity(value.middle, need.unit)} ({spread(value)})" if value else NOT_MEASURED,
+                allowance(need),
+                grounds(found),
+                need.mechanism,
+            )
+        )
+    return table(("ratio", "need", "comes to (spread)", "allowed", "grounds", "carried by"), rows)
+
+
+def roles_table(entries: dict[str, Entry]) -> str:
+    """The largest ratio of each role and kind."""
+    answers = [found for found in ordered(entries) if found.value is not None]
+
+    def cell(role: Role, kind: Kind) -> str:
+        for found in answers:
+            if (
+                found.need.role is role
+                and found.need.kind is kind
+                and found.value
+                and found.ratio is not None
+            ):
+                return f"{quantity(found.value.middle, found.need.unit)} ({number(found.ratio)})"
+        return NOT_MEASURED
+
+    rows = [(role.value, *(cell(role, kind) for kind in Kind)) for role in Role]
+    return table(("role", *Kind), rows)
+
+
+def slopes_table(entries: dict[str, Entry]) -> str:
+    """Every series that a need rests on: its growth, and the run it is from."""
+    used = sorted({name for need in NEEDS for name in need.series})
+    rows = []
+    for name in used:
+        found = find(entries, name)
+        if found is None:
+            rows.append((name, NOT_MEASURED, "-", "-", "-"))
+            continue
+        series, origin = found.series, found.origin
+        least, most = series.range
+        rows.append(
+            (
+                name,
+                fit(series).describe(series),
+                f"{number(least)} to {number(most)} {series.size_unit} x {series.repeats}",
+                series.bound or "not said",
+                f"`{origin.command}` at {origin.commit}",
+            )
+        )
+    return table(("series", "slope (spread over repeats), shape", "range, repeats", "bound", "run"), rows)
+
+
+def others_cores(failure: Failure, entries: dict[str, Entry]) -> str:
+    """What each other forwarder's core then does with messages."""
+    found = find(entries, RATE_SERIES)
+    if found is None:
+        return NOT_MEASURED
+    per_s = others_per_s(failure)
+    message_us = fit(found.series).at(per_s).middle
+    return f"{number(per_s)}/s, {per_s * message_us / 1e6:.3g} core"
+
+
+def control_text(failure: Failure, entries: dict[str, Entry]) -> str:
+    parts = []
+    for label, found in control_figures(failure, entries):
+        value = NOT_MEASURED if found is None else number(fit(found.series).at(target.FORWARDERS).middle)
+        parts.append(f"{label}: {value}")
+    return "; ".join(parts) or NOT_MEASURED
+
+
+def failures_table(entries: dict[str, Entry]) -> str:
+    rows = []
+    for failure in FAILURES:
+        lost = lost_per_s(failure)
+        share = lost / target.MESSAGES_PER_S
+        held = held_messages(failure)
+        peak = f"{number(lost)}/s ({share:.2%})"
+        if failure.held_back_per_s:
+            peak = f"{number(failure.held_back_per_s)}/s held back"
+        rows.append(
+            (
+                failure.what,
+                peak,
+                others_cores(failure, entries),
+                number(held) if held else "0",
+                control_text(failure, entries),
+                failure.goes_on,
+            )
+        )
+    heads = ("failure", "peak cost", "each other forwarder", "held meanwhile", "control", "who goes on")
+    return table(heads, rows)
+
+
+TABLES: dict[str, Callable[[dict[str, Entry]], str]] = {
+    "first": first_table,
+    "roles": roles_table,
+    "failures": failures_table,
+    "slopes": slopes_table,
+}
+
+
+def filled(text: str, entries: dict[str, Entry]) -> str:
+    """The page with every table as the results give it."""
+    return BLOCK.sub(lambda block: block[1] + "\n" + TABLES[block["name"]](entries) + "\n" + block[3], text)
+
+
+def main(arguments: Sequence[str]) -> int:
+    text = PAGE.read_text()
+    made = filled(text, results.load())
+    if "--check" in arguments:
+        return int(made != text)
+    PAGE.write_text(made)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_scale_frame.py
+++ b/tests/test_scale_frame.py
@@ -5,10 +5,11 @@
 
 import pytest
 
-from measure.scale import results
+from measure.scale import page, results
 from measure.scale.__main__ import discover, main
 from measure.scale.fit import Shape, fit
 from measure.scale.growth import grow, sizes_by
+from measure.scale.needs import Kind, Need, Source, answer
 from measure.scale.results import Entry, Origin, Point, Series
 from measure.scale.target import Role
 
@@ -74,3 +75,25 @@
     assert [line.split(":")[0] for line in listed] == list(discover())
     with pytest.raises(SystemExit):
         main(["no such measurement"])
+
+
+def test_the_page_has_what_the_results_give() -> None:
+    text = page.PAGE.read_text()
+    assert {block["name"] for block in page.BLOCK.finditer(text)} == set(page.TABLES)
+    assert page.filled(text, results.load()) == text, "python -m measure.scale.page writes it anew"
+
+
+def test_a_need_is_the_sum_of_its_series_at_the_targets_size() -> None:
+    entries = {"x": Entry("x", ORIGIN, (series(lambda n: 2 * n, "out"), series(lambda n: 3 * n, "back")))}
+    need = Need(Role.MEMBERS, Kind.MESSAGES, "both ways", ("out", "back"), 1_000_000, 1e7, Source.STATED,
+                "byte/s", "beats", 4.0)
+    found = answer(need, entries)
+    assert found.value and found.value.middle == pytest.approx(2e7)
+    assert found.ratio == pytest.approx(2.0)
+    assert page.grounds(found) == "10 x past the range; linear, assumed to go on"
+    assert answer(need, {}).ratio is None  # not measured is no ratio
+
+
+def test_a_shape_that_is_not_plain_is_read_between_its_points() -> None:
+    steps = dict(zip(SIZES, (1.0, 50.0, 55.0, 4_000.0), strict=True))
+    assert fit(series(steps.__getitem__)).at(5_500).middle == pytest.approx(52.5)
--- /dev/null
+++ b/tests/test_scale_messages.py
@@ -0,0 +1,60 @@
+"""What `docs/CAPACITY.md` says of the journal's growth, held by bytes and records that are counted."""
+
+from pathlib import Path
+
+import pytest
+
+from lemonshunt.journal.format import MOST_RECORD, scan
+from lemonshunt.net.store import Store
+from measure.scale import journal_growth
+from measure.scale.message_traffic import SECOND, Traffic
+
+FEW, MANY = 500, 4_000
+NEAR = 0.05  # of the bytes: names and numbers grow by a digit
+
+
+def test_a_message_costs_as_many_bytes_beside_many_live_ones_as_beside_few() -> None:
+    few, many = (journal_growth.passing(live)["bytes"] for live in (FEW, MANY))
+    assert many == pytest.approx(few, rel=NEAR)
+
+
+def test_a_checkpoint_has_a_record_for_each_live_message_and_little_beside(tmp_path: Path) -> None:
+    sizes: dict[int, int] = {}
+    beside: dict[int, int] = {}
+    for live in (FEW, MANY):
+        store = journal_growth.filled(tmp_path / str(live), live)
+        store.compact()
+        sizes[live] = store.size
+        store.close()
+        beside[live] = len(list(scan(store.path.read_bytes()).frames)) - live
+    assert sizes[MANY] == pytest.approx(sizes[FEW] * MANY / FEW, rel=NEAR)
+    assert beside[MANY] == beside[FEW] < 10
+
+
+def test_a_rewriting_waits_until_three_times_what_lives_was_written() -> None:
+    written = journal_growth.passing(MANY)["bytes"]
+    alone = journal_growth.passing(1)["bytes"]
+    assert written <= alone * 4 / 3
+
+
+def test_a_change_of_the_list_writes_the_whole_list(tmp_path: Path) -> None:
+    """What the page says of it; where changes alone are written this is to be replaced by less."""
+    few, many = (journal_growth.list_changes(endpoints)["bytes"] for endpoints in (FEW, MANY))
+    assert many == pytest.approx(few * MANY / FEW, rel=NEAR)
+
+
+def test_a_list_within_the_longest_record_is_read_again(tmp_path: Path) -> None:
+    hosts = {str(told["host"]): told for told in map(journal_growth.endpoint, range(10_000))}
+    store = journal_growth.opened(tmp_path)
+    store.list(1, hosts, journal_growth.NOW_US, "127.0.0.1:1")
+    store.close()
+    assert store.list_size <= MOST_RECORD
+    again = Store(tmp_path, journal_growth.DISK_BYTES, write=False)
+    assert again.hosts == hosts and not again.report.damaged
+
+
+def test_simulated_traffic_keeps_every_held_message() -> None:
+    traffic = Traffic(100, down=range(3))
+    traffic.hold(600)
+    spent = traffic.run(SECOND // 2, 60.0, SECOND // 2)
+    assert not traffic.ended and spent.events > 900
