--- a/measure/scale/fit.py
+++ b/measure/scale/fit.py
@@ -91,11 +91,12 @@
 
     def at(self, size: float) -> Span:
         """The value at another size. Where no shape is plain it is between those of the sizes around it, and
-        past the largest the last two sizes' power law goes on."""
+        past the largest the last two sizes' power law goes on, or the last value where that falls."""
         if self.shape is None and self.points[0].size <= size <= self.last.size:
             return between(self.points, size)
         if self.shape is None:
-            growth = (size / self.last.size) ** self.last_exponent if self.last.size else 1.0
+            exponent = max(0.0, self.last_exponent)
+            growth = (size / self.last.size) ** exponent if self.last.size else 1.0
             values = [value * growth for value in self.last.values]
             return Span(self.last.median * growth, min(values), max(values))
         middle = value_of(self.shape, self.line, size)
@@ -182,7 +183,7 @@
         errors = {tried: residual(tried, lines[tried], sizes, medians) for tried in TERMS}
         best = min(errors, key=lambda tried: errors[tried])
         line, error = lines[best], errors[best]
-        plain = error <= PLAIN_WITHIN and len(sizes) >= LEAST_SIZES
+        plain = error <= PLAIN_WITHIN and len(sizes) >= LEAST_SIZES and line.slope > 0
         shape = best if plain else None
     if shape is None:
         return Fit(None, line, Span(0.0, 0.0, 0.0), error, (), last_exponent(points), tuple(points))
--- a/measure/scale/message_decisions.py
+++ b/measure/scale/message_decisions.py
@@ -14,6 +14,8 @@
 
 MOST_HELD = 1_000_000
 HELD = sizes_by(250, 4, MOST_HELD)
+HELD_POINT_S = 400.0
+"""What all repeats at one size may be expected to take, in seconds."""
 CALLS_OUT = (1, 5, 50, 500, 2_000)
 WARM_US, MEASURED_US, LEAST_US = 1_100 * MILLISECOND, SECOND, 120 * MILLISECOND
 WARM_PROCESSOR_S, PROCESSOR_S = 2.0, 6.0
@@ -49,6 +51,7 @@
         HELD,
         lambda held: isolated(decide, held, PILES[pattern], keyed),
         progress,
+        point_s=HELD_POINT_S,
         memory=lambda run: run["memory"],
     )
     what = f"{pattern} of the destinations" + (", with order keys" if keyed else "")
--- a/measure/scale/target.py
+++ b/measure/scale/target.py
@@ -85,6 +85,8 @@
 """Cores that the list service may take, assumed: its process runs one event loop, thus one core."""
 READY_S = 10.0
 """Seconds from start to ready: FLEET's bound for nine in ten restarted forwarders, whatever they hold."""
+RECALLED_S = 60.0
+"""Seconds from ready until all that was held is decided on again, assumed: the operators did not say."""
 PAUSE_S = 0.1
 """Seconds that the loop may stand still, assumed: `docs/parts.md` names a tenth of a second as the most."""
 CALLS_OUT = 500
--- a/tests/test_scale_frame.py
+++ b/tests/test_scale_frame.py
@@ -97,3 +97,9 @@
 def test_a_shape_that_is_not_plain_is_read_between_its_points() -> None:
     steps = dict(zip(SIZES, (1.0, 50.0, 55.0, 4_000.0), strict=True))
     assert fit(series(steps.__getitem__)).at(5_500).middle == pytest.approx(52.5)
+
+
+def test_what_falls_is_not_taken_to_fall_on() -> None:
+    falling = dict(zip(SIZES, (9.0, 8.0, 4.0, 2.0), strict=True))
+    found = fit(series(falling.__getitem__))
+    assert found.shape is None and found.at(10_000_000).middle == pytest.approx(2.0)
