--- a/measure/scale/journal_ready.py
+++ b/measure/scale/journal_ready.py
@@ -12,7 +12,7 @@
 from lemonshunt.wirehost import settings
 from measure.figures import end_peers
 from measure.scale.growth import grow, isolated
-from measure.scale.message_rate import processor_s
+from measure.scale.memory import processor_s
 from measure.scale.results import Measurement, Progress, Series
 from measure.scale.target import Role
 from tests.sockets import SETTINGS, Node, Platform
@@ -20,16 +20,29 @@
 LIVE = (10, 100, 1_000, 10_000, 100_000)
 DISK_MB = 10_000
 PATIENCE_S = 120.0
-LEFT_US = 50_000_000
+LEFT_US = 300_000_000
+DESTINATIONS = 100
+MOST_ATTEMPTS = 1_000_000
 
 
-def fill(folder: Path, live: int) -> None:
+def fill(folder: Path, live: int, destinations: range) -> None:
+    """A journal with so many live messages, untried, for the destinations in turn."""
     store = Store(folder, DISK_MB * 1_000_000)
     made = settings(SETTINGS)
-    store.settle(Rules(made.max_attempts, made.classes))
+    store.settle(Rules(MOST_ATTEMPTS, made.classes))
     due = int(time.time() * 1e6) + LEFT_US
     for number in range(live):
-        store.take(Taken(f"m{number}", "status", number % 100, due, None, "acme", b"x" * 200))
+        store.take(
+            Taken(
+                f"m{number}",
+                "status",
+                destinations[number % len(destinations)],
+                due,
+                None,
+                "acme",
+                b"x" * 200,
+            )
+        )
         if number % 1_000 == 0:
             store.flush()
     store.close()
@@ -41,7 +54,7 @@
     platform.host("s1", 1, block=1_000)
     with tempfile.TemporaryDirectory() as name:
         node = Node(Path(name), platform, disk_mb=DISK_MB, max_open=10 * live + 1_000)
-        fill(Path(name) / "state", live)
+        fill(Path(name) / "state", live, range(DESTINATIONS))
         began = time.perf_counter()
         await node.spawn()
         async with asyncio.timeout(PATIENCE_S):
--- a/measure/scale/message_rate.py
+++ b/measure/scale/message_rate.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import multiprocessing
-import os
 import tempfile
 import time
 from collections.abc import Iterator, Mapping
@@ -15,50 +14,62 @@
 from measure.figures import end_peers
 from measure.scale import message_load
 from measure.scale.growth import grow, isolated
+from measure.scale.journal_ready import fill
+from measure.scale.memory import TICKS_PER_S, processor_s
 from measure.scale.results import Measurement, Progress, Series
 from measure.scale.target import Role
 from tests.sockets import Node, Platform
 
 RATES = (50, 100, 200, 400, 800, 1_600, 3_200)
 DESTINATIONS = 8
+SOUND_BESIDE_HELD = 30
+"""Sound destinations beside the one that is down: that has 3.2% of the load, as in the target."""
+HELD = (100, 400, 1_600, 6_400, 25_600)
+HELD_PER_S = 400
+CLOSED_PORT = 1
+"""Nobody listens there."""
+AIM_US = 360_000_000
+OUTAGE = {"fall_us": 2_000_000, "cold_from": 0.2, "warm_after_us": 2_000_000, "overload_factor": 1.5}
+"""By which calls to an endpoint that is down take turns."""
 SLOTS = 256
 WARM_S, MEASURED_S = 2.0, 4.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
-
-def processor_s(process: int) -> float:
-    """User and system time of a process until now."""
-    fields = Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
 def roomy(node: Node) -> None:
-    """Let neither slots nor sockets bound what the forwarder does."""
+    """Let neither slots, sockets, attempts nor time bound what the forwarder holds and does."""
     path = node.folder / "config.json"
     config: dict[str, Any] = json.loads(path.read_text())
     config["settings"]["family_info"]["slots"] = SLOTS
     config["limits"] |= {"sockets": 1024, "disk_mb": 1_000}
+    config["settings"]["contract"] |= OUTAGE
+    for service in config["settings"]["services"]:
+        service |= {"aim_us": AIM_US, "deadline_us": 10 * AIM_US}
     path.write_text(json.dumps(config))
 
 
-async def forward(per_s: int) -> Mapping[str, float]:
-    """Load at a rate; what the forwarder did in the measured stretch."""
+async def forward(per_s: int, held: int, destinations: int) -> Mapping[str, float]:
+    """Load at a rate; what the forwarder did in the measured stretch. With `held`, so many messages of before
+    its start are held for one destination more, which is down and has its part of the load too."""
     context = multiprocessing.get_context("spawn")
     taken, delivered = context.Value("q", 0), context.Value("q", 0)
     here, there = context.Pipe()
-    started = [message_load.start(message_load.serve_endpoints, there, DESTINATIONS, delivered)]
+    started = [message_load.start(message_load.serve_endpoints, there, destinations, delivered)]
     try:
         platform = Platform()
         await platform.start()
         for destination, port in enumerate(await asyncio.to_thread(here.recv)):
             platform.host(f"s{destination}", port, block=destination)
             platform.hosts[f"s{destination}"]["share"] = 1e6
+        if held:
+            platform.host("down", CLOSED_PORT, block=destinations)
         with tempfile.TemporaryDirectory() as name:
-            node = Node(Path(name), platform, max_open=100_000)
+            node = Node(Path(name), platform, max_open=1_000_000, max_attempts=1_000_000)
             roomy(node)
+            if held:
+                fill(node.folder / "state", held, range(destinations, destinations + 1))
             await node.start()
             try:
-                load = (node.port, per_s, DESTINATIONS, taken)
+                load = (node.port, per_s, destinations + bool(held), taken)
                 started.append(message_load.start(message_load.hand_in, *load))
                 await asyncio.sleep(WARM_S)
                 counts = taken.value, delivered.value
@@ -82,12 +93,12 @@
     }
 
 
-def run_forward(per_s: int) -> Mapping[str, float]:
-    return asyncio.run(forward(per_s))
+def run_forward(per_s: int, held: int, destinations: int) -> Mapping[str, float]:
+    return asyncio.run(forward(per_s, held, destinations))
 
 
 def series(progress: Progress) -> Iterator[Series]:
-    growth = grow(RATES, lambda per_s: isolated(run_forward, per_s), progress, point_s=120.0)
+    growth = grow(RATES, lambda per_s: isolated(run_forward, per_s, 0, DESTINATIONS), progress, point_s=120.0)
     for name, title, unit in (
         ("taken", "messages taken on a second", "message/s"),
         ("delivered", "messages delivered a second", "message/s"),
@@ -105,4 +116,29 @@
         )
 
 
-MEASUREMENTS = (Measurement("message-rate", "the real forwarder on sockets at rising rates", series),)
+def held_series(progress: Progress) -> Iterator[Series]:
+    growth = grow(
+        HELD,
+        lambda held: isolated(run_forward, HELD_PER_S, held, SOUND_BESIDE_HELD),
+        progress,
+        point_s=240.0,
+    )
+    for name, title, unit in (
+        ("delivered", "messages delivered a second", "message/s"),
+        ("message", "processor time a message", "us"),
+        ("core", "cores kept busy", "core"),
+    ):
+        yield Series(
+            f"forwarder: {title}, {HELD_PER_S} offered, held for one destination",
+            Role.MESSAGE_PATH,
+            "message held",
+            unit,
+            growth.of(name),
+            growth.bound,
+        )
+
+
+MEASUREMENTS = (
+    Measurement("message-rate", "the real forwarder on sockets at rising rates", series),
+    Measurement("message-rate-held", "the same beside messages held for one destination", held_series),
+)
