--- a/measure/scale/journal_ready.py
+++ b/measure/scale/journal_ready.py
@@ -34,7 +34,7 @@
     for number in range(live):
         store.take(
             Taken(
-                f"m{number}",
+                f"held{number}",
                 "status",
                 destinations[number % len(destinations)],
                 due,
