Measure half a second at least where decisions beside one pile are cut short

A stretch of 120 ms has four fresh messages for the pile in the mean: at 256,000 and 1,000,000 held the figure was that chance.

--- a/measure/scale/message_decisions.py
+++ b/measure/scale/message_decisions.py
@@ -17,7 +17,9 @@
 HELD_POINT_S = 400.0
 """What all repeats at one size may be expected to take, in seconds."""
 CALLS_OUT = (1, 5, 50, 500, 2_000)
-WARM_US, MEASURED_US, LEAST_US = 1_100 * MILLISECOND, SECOND, 120 * MILLISECOND
+WARM_US, MEASURED_US = 1_100 * MILLISECOND, SECOND
+LEAST_WARM_US, LEAST_US = 120 * MILLISECOND, 500 * MILLISECOND
+"""Simulated time before and while it is measured, and how much of it there is where that is cut short."""
 WARM_PROCESSOR_S, PROCESSOR_S = 2.0, 6.0
 """What the stretches before and while it is measured may take before they are cut short."""
 BATCH = 100
@@ -39,7 +41,7 @@
     traffic.hold(held, keyed)
     gc.collect()
     memory = resident_bytes()
-    traffic.run(WARM_US, WARM_PROCESSOR_S, LEAST_US)
+    traffic.run(WARM_US, WARM_PROCESSOR_S, LEAST_WARM_US)
     spent = traffic.run(MEASURED_US, PROCESSOR_S, LEAST_US)
     if traffic.ended:
         raise RuntimeError(f"held messages were given up: {traffic.ended}")
@@ -75,7 +77,7 @@
     silent = range(out)
     traffic = Traffic(target.DESTINATIONS, silent=silent)
     traffic.decide([traffic.arrival(destination) for destination in silent])
-    traffic.run(WARM_US, WARM_PROCESSOR_S, LEAST_US)
+    traffic.run(WARM_US, WARM_PROCESSOR_S, LEAST_WARM_US)
     spent = traffic.run(MEASURED_US, PROCESSOR_S, LEAST_US)
     return {"event": spent.event_us, "core": spent.core_share}
 
--- a/measure/scale/needs.py
+++ b/measure/scale/needs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from measure.scale import target
+from measure.scale import message_rate, target
 from measure.scale.fit import Fit, Span, fit
 from measure.scale.results import Entry, Found, find
 from measure.scale.target import Role
@@ -109,6 +109,17 @@
         "one event loop",
         target.FORWARDER_PER_S * US,
     ),
+    Need(
+        Role.MESSAGE_PATH,
+        Kind.PROCESSOR,
+        f"whole forwarder at {message_rate.HELD_PER_S} a second, backlog in one destination",
+        (f"forwarder: cores kept busy, {message_rate.HELD_PER_S} offered, held for one destination",),
+        HELD,
+        target.FORWARDER_CORES,
+        Source.ASSUMED,
+        "core",
+        MISSING,
+    ),
     *(
         Need(
             Role.MESSAGE_PATH,
@@ -174,8 +185,11 @@
     Need(
         Role.JOURNAL,
         Kind.MEMORY,
-        "while a checkpoint is written",
-        ("journal: most memory while a checkpoint is written",),
+        "the process while a checkpoint is written, with the dispatcher's part",
+        (
+            "journal: most memory while a checkpoint is written",
+            *dispatcher("memory of a process with a dispatcher alone", "3.2%"),
+        ),
         HELD,
         target.MACHINE_BYTES,
         Source.ASSUMED,
