--- a/measure/scale/needs_control.py
+++ b/measure/scale/needs_control.py
@@ -9,6 +9,7 @@
 BEATS_PER_S = 1 / target.MEMBERS_BEAT_S
 FLEET = float(target.FORWARDERS)
 ENDPOINTS = float(target.DESTINATIONS)
+DAY_S = 86_400.0
 BUDGETS = float(target.DESTINATIONS)
 CORE, BYTES, WIRE = target.CONTROL_CORE_SHARE, target.CONTROL_BYTES, target.CONTROL_BYTES_PER_S
 
@@ -148,7 +149,7 @@
     Need(
         Role.BUDGETS,
         Kind.TIME,
-        "the service's look at budgets at rest, one for each destination",
+        "the ledger's look at budgets at rest, 30 members",
         ("ledger_budgets_rest_ms",),
         BUDGETS,
         target.PAUSE_S,
@@ -262,4 +263,52 @@
         "byte",
         "one record",
     ),
+    # Files of configuration, and what the service keeps of budgets
+    Need(
+        Role.CONFIGURATION,
+        Kind.TIME,
+        "the loop stands still for a file that lists all endpoints",
+        ("config_endpoints_apply_ms",),
+        ENDPOINTS,
+        target.PAUSE_S,
+        Source.ASSUMED,
+        "s",
+        MISSING,
+        MS,
+    ),
+    Need(
+        Role.CONFIGURATION,
+        Kind.PROCESSOR,
+        "a day's files, each read, examined and put in force",
+        ("config_endpoints_load_ms", "config_endpoints_examine_ms", "config_endpoints_apply_ms"),
+        ENDPOINTS,
+        CORE,
+        Source.STATED,
+        "core",
+        "whole files",
+        target.CONFIGURATIONS_PER_DAY / DAY_S * MS,
+    ),
+    Need(
+        Role.CONTROL_MACHINES,
+        Kind.STATE,
+        "memory of a ledger for 30 members, a budget for each destination",
+        ("ledger_budgets_kept_bytes",),
+        BUDGETS,
+        target.MACHINE_BYTES,
+        Source.ASSUMED,
+        "byte",
+        "one account a member and budget",
+    ),
+    Need(
+        Role.CONTROL_MACHINES,
+        Kind.TIME,
+        "the service's whole look at budgets at rest, 30 members",
+        ("ledger_budgets_service_rest_ms",),
+        BUDGETS,
+        target.PAUSE_S,
+        Source.ASSUMED,
+        "s",
+        MISSING,
+        MS,
+    ),
 )
