Show the whole forwarder beside a backlog at the largest size measured

A process that is busy all the time takes no more than its core, so the fitted growth past that said nothing.

--- a/measure/scale/needs.py
+++ b/measure/scale/needs.py
@@ -112,9 +112,9 @@
     Need(
         Role.MESSAGE_PATH,
         Kind.PROCESSOR,
-        f"whole forwarder at {message_rate.HELD_PER_S} a second, backlog in one destination",
+        f"whole forwarder at {message_rate.HELD_PER_S} a second, only {message_rate.HELD[-1]:,} held in one",
         (f"forwarder: cores kept busy, {message_rate.HELD_PER_S} offered, held for one destination",),
-        HELD,
+        message_rate.HELD[-1],  # past it the process is busy all the time, and its cores grow no more
         target.FORWARDER_CORES,
         Source.ASSUMED,
         "core",
