--- /dev/null
+++ b/measure/scale/control_division.py
@@ -0,0 +1,107 @@
+"""Budgets at the list service: one division, a plan, a member's beat, against members and against budgets."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterable
+
+from lemonshunt.budget.config import checked
+from lemonshunt.budget.divide import divide
+from lemonshunt.budget.ledger import Ledger
+from measure.scale import control_probe as probe
+from measure.scale import control_worlds as worlds
+from measure.scale.growth import Growth, grow
+from measure.scale.results import Measurement, Progress, Series
+from measure.scale.target import FORWARDERS, Role
+
+MEMBERS = (10, 30, 100, 300, FORWARDERS, 1_000)
+BUDGETS = (1, 10, 100, 1_000)
+FEW_MEMBERS = 30
+REPEATS = 5
+CALLS_EACH = 6
+MS = "ms of processor time"
+
+
+def needs(members: int, seed: int) -> dict[int, dict[str, int]]:
+    """A third of the members has work, in two parts."""
+    chance = random.Random(seed)
+    return {n: {"gold": chance.randrange(50), "free": chance.randrange(50)} if n % 3 == 0 else {}
+            for n in range(members)}
+
+
+def divide_once(members: int) -> dict[str, float]:
+    """One division of one budget alone."""
+    wanted, floors = needs(members, members), dict.fromkeys(range(members), 1)
+    return {"ms": probe.processor_ms_each(
+        lambda: divide(members * CALLS_EACH, wanted, {"gold": 3}, floors, 1, {}, members // 3))}
+
+
+def ledger(members: int, budgets: int) -> Ledger:
+    """All in force, nothing granted yet."""
+    named = checked([worlds.budget(n, members * CALLS_EACH, members, 1) for n in range(budgets)])
+    made = Ledger(named, worlds.LEASE_US, worlds.DRIFT, 0, sure=True)
+    for n in range(members):
+        made.joined(worlds.token(n), worlds.member(n), None, 0)
+    return made
+
+
+def settle(made: Ledger, now_us: int) -> int:
+    """Plan, take and acknowledge until nothing is due; the moment it then is."""
+    while (change := made.plan(now_us)) is not None:
+        made.commit(change)
+        for token in list(made.names):
+            told = made.told(token)
+            made.beat(token, {}, {d: (s.calls, s.number) for d, s in told.items()}, now_us)
+        now_us += worlds.SECOND_US
+    return now_us
+
+
+def ledger_once(members: int, budgets: int) -> dict[str, float]:
+    """At rest: a plan that finds nothing due, a beat that says nothing new, its answer. Then a plan after a
+    member's need changed in one budget."""
+    made = ledger(members, budgets)
+    now_us = settle(made, 0)
+    token = worlds.token(0)
+    holds = {d: (s.calls, s.number) for d, s in made.told(token).items()}
+    rest_ms = probe.processor_ms_each(lambda: made.plan(now_us))
+    beat_ms = probe.processor_ms_each(lambda: made.beat(token, {}, holds, now_us))
+    told_ms = probe.processor_ms_each(lambda: made.told(token))
+    clock = itertools.count(now_us + 2 * worlds.SECOND_US, 2 * worlds.SECOND_US)
+    work = itertools.cycle((200, 100))
+
+    def stirred() -> None:
+        at_us = next(clock)
+        made.beat(token, {"0": {"gold": next(work)}}, {}, at_us)
+        change = made.plan(at_us)
+        if change is not None:
+            made.commit(change)
+
+    stirred_ms = probe.processor_ms(stirred)
+    return {"rest_ms": rest_ms, "beat_ms": beat_ms, "told_ms": told_ms, "stirred_ms": stirred_ms}
+
+
+def series(prefix: str, size_unit: str, growth: Growth) -> Iterable[Series]:
+    for key in growth.points:
+        yield Series(f"{prefix}_{key}", Role.BUDGETS, size_unit, MS, growth.of(key), growth.bound)
+
+
+def run_division(progress: Progress) -> Iterable[Series]:
+    yield from series("division", "members", grow(MEMBERS, divide_once, progress, REPEATS))
+
+
+def run_members(progress: Progress) -> Iterable[Series]:
+    growth = grow(MEMBERS, lambda size: ledger_once(size, 1), progress, 3)
+    yield from series("ledger_members", "members", growth)
+
+
+def run_budgets(progress: Progress) -> Iterable[Series]:
+    growth = grow(BUDGETS, lambda size: ledger_once(FEW_MEMBERS, size), progress, 3, point_s=30.0)
+    yield from series("ledger_budgets", "budgets", growth)
+
+
+MEASUREMENTS = (
+    Measurement("control_division", "one division of one budget against members", run_division),
+    Measurement("control_ledger_members", "plan, beat and answer of one budget against members", run_members),
+    Measurement("control_ledger_budgets", f"the same at {FEW_MEMBERS} members against budgets", run_budgets),
+)
--- /dev/null
+++ b/measure/scale/control_list.py
@@ -0,0 +1,224 @@
+"""The list of endpoints: what it weighs, what a forwarder pays to read and to follow it, what the list
+service pays to tell it."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import json
+import tempfile
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from lemonshunt import interface as i
+from lemonshunt.choice import Dispatcher
+from lemonshunt.net.config import Address, HostList, host_list
+from lemonshunt.net.discovery import ANSWER_S, Client
+from lemonshunt.net.engine import Engine
+from lemonshunt.net.http import MOST_LIST, BadAnswer, ResponseReader
+from lemonshunt.net.store import Store
+from lemonshunt.registry.core import Registry
+from lemonshunt.registry.disk import Disk
+from lemonshunt.registry.server import Service
+from measure.scale import control_probe as probe
+from measure.scale import control_worlds as worlds
+from measure.scale.growth import grow, isolated, sizes_by
+from measure.scale.results import Measurement, Progress, Series
+from measure.scale.target import DESTINATIONS, Role
+
+SIZES = (100, 1_000, 10_000, DESTINATIONS)
+LARGEST = 3 * DESTINATIONS
+"""Three endpoints for each destination."""
+REPEATS = 5
+READ_BYTES = 256 * 1024
+"""What the loop reads from a socket at a time."""
+
+
+def read_from_wire(body: bytes) -> bytes:
+    """The body of an answer as the forwarder collects it, piece by piece."""
+    reader = ResponseReader(MOST_LIST)
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for at in range(0, len(answer), READ_BYTES):
+        reader.feed(answer[at : at + READ_BYTES])
+    if not reader.complete:
+        raise BadAnswer("not whole")
+    return reader.body
+
+
+def told(body: bytes) -> HostList:
+    """What `Watch.follow` makes of an answer."""
+    return host_list(json.loads(read_from_wire(body)))
+
+
+def follow_whole(path: str) -> dict[str, float]:
+    """In a process of its own: a forwarder that knows no endpoint reads a whole list from a file and takes
+    it, then hears of single changes."""
+    body = Path(path).read_bytes()
+
+    async def scene(folder: Path) -> dict[str, float]:
+        engine = worlds.engine(folder)
+        engine.round()
+        before = probe.resident_bytes()
+        probe.reset_peak()
+        found: list[HostList] = []
+        read_ms = probe.processor_ms(lambda: found.append(told(body)))
+        take_ms = probe.processor_ms(lambda: engine.listed(found.pop()))
+        peak = probe.peak_bytes() - before
+        kept = probe.resident_bytes() - before
+        known = {"reachable": reachable(engine), "recovered": recovered(engine, folder)}
+        sweep_ms = probe.processor_ms(gc.collect, freeze=False)
+        return {"read_ms": read_ms, "take_ms": take_ms, "peak_bytes": peak, "kept_bytes": kept,
+                "sweep_ms": sweep_ms, **known, **follow_change(engine)}
+
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(scene(Path(folder)))
+
+
+def reachable(engine: Engine) -> float:
+    """The share of the listed endpoints that the module and the engine know by the same number: all others
+    are held back when a message is sent to them."""
+    targets = engine.dispatcher.targets.values()
+    names = {engine.names.get(t.id) for t in targets if t.serving}
+    return len(names & engine.hosts.keys()) / len(engine.hosts)
+
+
+def recovered(engine: Engine, folder: Path) -> float:
+    """The share of the listed endpoints that a start after a kill finds in the journal."""
+    return len(Store(folder, worlds.DISK_BYTES, write=False).hosts) / len(engine.hosts)
+
+
+def follow_change(engine: Engine) -> dict[str, float]:
+    """One changed entry, from the parsed answer on: the turn of the loop it takes, the bytes it journals."""
+    count, written = len(engine.hosts), engine.store.figures()["bytes"]
+    news = changes(count)
+    rounds = 4
+    ms = [probe.processor_ms(lambda: engine.listed(next(news))) for _ in range(rounds)]
+    journaled = engine.store.figures()["bytes"] - written
+    return {"change_ms": sum(ms) / rounds, "change_journal_bytes": journaled / rounds}
+
+
+def changes(count: int) -> Iterator[HostList]:
+    """News of the middle endpoint, draining and back, without end."""
+    for health in itertools.cycle(("draining", "up")):
+        yield worlds.changed_entry(count, count // 2, health)
+
+
+def read_once(size: int) -> dict[str, float]:
+    body = worlds.whole_list(size)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "list.json")
+        path.write_bytes(body)
+        return {"bytes": len(body), **isolated(follow_whole, str(path))}
+
+
+def entries(count: int) -> tuple[i.TargetEntry, ...]:
+    """The whole list as the module hears it."""
+    listed = host_list({"seq": 1, "whole": True, "hosts": [worlds.endpoint(n) for n in range(count)]})
+    return tuple(host.entry(number) for number, host in enumerate(listed.hosts, 1))
+
+
+def module_once(size: int) -> dict[str, float]:
+    """The module alone: a round with the whole list, and one with a single change."""
+    with tempfile.TemporaryDirectory() as folder:
+        dispatcher = Dispatcher(worlds.config(Path(folder)).settings, 1, 0)
+    whole = i.Listed(i.ListKind.WHOLE, entries(size))
+    one = i.Listed(i.ListKind.CHANGES, whole.entries[size // 2 : size // 2 + 1])
+    whole_ms = probe.processor_ms(lambda: dispatcher.handle(1, [whole]))
+    return {"whole_ms": whole_ms, "change_ms": probe.processor_ms_each(lambda: dispatcher.handle(2, [one]))}
+
+
+def service_once(size: int) -> dict[str, float]:
+    """The list service's own work: the whole list, and from a change that was asked for to its answer."""
+    registry = worlds.registry(size)
+    whole_ms = probe.processor_ms_each(lambda: msgspec.json.encode(registry.owed(None, None)))
+    shares = itertools.cycle((100.0, 200.0))
+
+    def change() -> None:
+        op = {"op": "share", "host": worlds.endpoint(size // 2)["host"], "share": next(shares)}
+        registry.commit(registry.prepare({"ops": [op]}, ""))  # type: ignore[arg-type]
+
+    change_ms = probe.processor_ms_each(change)
+    tell_ms = probe.processor_ms_each(lambda: change_for_watcher(registry))
+    return {"whole_ms": whole_ms, "change_ms": change_ms, "tell_ms": tell_ms,
+            "tell_bytes": len(change_for_watcher(registry))}
+
+
+def change_for_watcher(registry: Registry) -> bytes:
+    """What a watcher who knows all but the last change is answered; made once for all who know the same."""
+    return msgspec.json.encode(registry.owed(registry.seq - 1, registry.epoch))
+
+
+async def arrives(count: int) -> bool:
+    """Whether a forwarder's own client gets the whole list from the real service over a loopback socket."""
+    with tempfile.TemporaryDirectory() as folder:
+        disk = Disk(Path(folder))
+        disk.load()
+        service = Service(disk, worlds.registry(count))
+        port = await service.listen("127.0.0.1", 0, False)
+        client = Client(Address("127.0.0.1", port))
+        try:
+            answer = await client.ask("GET", "/discovery/hosts", 10 * ANSWER_S)
+            return answer.status == 200 and len(json.loads(answer.body)["hosts"]) == count
+        except (OSError, BadAnswer):
+            return False
+        finally:
+            client.close()
+            await service.stop()
+
+
+def arrival_once(size: int) -> dict[str, float]:
+    return {"arrived": float(asyncio.run(arrives(size)))}
+
+
+def run_read(progress: Progress) -> Iterable[Series]:
+    growth = grow(SIZES, read_once, progress, REPEATS)
+
+    def series(name: str, key: str, unit: str) -> Series:
+        return Series(name, Role.CONTROL_PART, "endpoints", unit, growth.of(key), growth.bound)
+
+    yield series("list_whole_bytes", "bytes", "bytes")
+    yield series("list_read_ms", "read_ms", "ms of processor time")
+    yield series("list_take_ms", "take_ms", "ms of processor time")
+    yield series("list_peak_bytes", "peak_bytes", "bytes")
+    yield series("list_kept_bytes", "kept_bytes", "bytes")
+    yield series("list_sweep_ms", "sweep_ms", "ms of processor time")
+    yield series("list_reachable", "reachable", "share of the endpoints")
+    yield series("list_recovered", "recovered", "share of the endpoints")
+    yield series("list_change_ms", "change_ms", "ms of processor time")
+    yield series("list_change_journal_bytes", "change_journal_bytes", "bytes")
+
+
+def run_module(progress: Progress) -> Iterable[Series]:
+    growth = grow(SIZES, module_once, progress, REPEATS)
+    for key in ("whole_ms", "change_ms"):
+        yield Series(f"list_module_{key}", Role.CONTROL_PART, "endpoints", "ms of processor time",
+                     growth.of(key), growth.bound)
+
+
+def run_service(progress: Progress) -> Iterable[Series]:
+    growth = grow(SIZES, service_once, progress, REPEATS)
+
+    def series(name: str, key: str, unit: str) -> Series:
+        return Series(name, Role.LIST_SERVICE, "endpoints", unit, growth.of(key), growth.bound)
+
+    yield series("list_service_whole_ms", "whole_ms", "ms of processor time")
+    yield series("list_service_change_ms", "change_ms", "ms of processor time")
+    yield series("list_service_tell_ms", "tell_ms", "ms of processor time")
+    yield series("list_service_tell_bytes", "tell_bytes", "bytes")
+
+
+def run_arrival(progress: Progress) -> Iterable[Series]:
+    growth = grow([*sizes_by(11_000, 2, LARGEST)], arrival_once, progress, 3)
+    yield Series("list_arrives", Role.LIST_SERVICE, "endpoints", "share of whole lists that arrive",
+                 growth.of("arrived"), growth.bound)
+
+
+MEASUREMENTS = (
+    Measurement("control_list_read", "a forwarder reads the whole list, and one change of it", run_read),
+    Measurement("control_list_module", "the module's share of that", run_module),
+    Measurement("control_list_service", "the service makes the whole list, a change, its news", run_service),
+    Measurement("control_list_arrival", "whole lists over loopback from the service", run_arrival),
+)
--- /dev/null
+++ b/measure/scale/control_members.py
@@ -0,0 +1,106 @@
+"""Leases and members at the list service: beats, the tick, the list of members, the log, a restart."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from lemonshunt.journal.files import SystemFiles
+from lemonshunt.lease.table import Table
+from lemonshunt.lease.terms import Terms
+from lemonshunt.member.roster import Roster
+from lemonshunt.registry.book import LEASE, Book
+from measure.scale import control_probe as probe
+from measure.scale import control_worlds as worlds
+from measure.scale.growth import grow
+from measure.scale.results import Measurement, Progress, Series
+from measure.scale.target import FORWARDERS, Role
+
+SIZES = (30, 100, 300, FORWARDERS, 1_000)
+REPEATS = 5
+LATER_US = 4 * worlds.LEASE_US
+UNITS = {
+    "beat_ms": "ms of processor time", "tick_ms": "ms of processor time", "due_ms": "ms of processor time",
+    "told_whole_ms": "ms of processor time", "told_whole_bytes": "bytes", "told_change_ms": "ms of processor time",
+    "told_change_bytes": "bytes", "beat_log_bytes": "bytes", "join_log_bytes": "bytes",
+    "log_bytes": "bytes", "compact_ms": "ms of processor time", "recover_ms": "ms of processor time",
+}
+
+
+def book(folder: Path) -> Book:
+    made = Book(folder / "fleet.log", SystemFiles(), None)
+    made.load()
+    return made
+
+
+def recover(folder: Path) -> Roster:
+    """What a start of the list service does with the log before its first grant."""
+    kept, found = Book(folder / "fleet.log", SystemFiles(), None).load()
+    table = Table.restored(kept[LEASE], Terms(worlds.DRIFT))
+    for row in found.get(LEASE, []):
+        table.commit(row)
+    table.commit(table.start(0, sure=True))
+    made = Roster(table, worlds.LEASE_US)
+    made.started(0)
+    return made
+
+
+def join_record(members: int) -> dict[str, Any]:
+    """The record of one more join."""
+    made = worlds.roster(members).join(LATER_US, "one-more", "zone-0", worlds.dial(0), "run-0")
+    assert made.record is not None
+    return made.record
+
+
+def log_once(members: int) -> dict[str, float]:
+    """The log of all joins, written anew, and read at a start."""
+    roster = worlds.roster(members)
+    with tempfile.TemporaryDirectory() as folder:
+        log = book(Path(folder))
+        log.append([(LEASE, join_record(members))])
+        join_bytes = log.log.at
+        compact_ms = probe.processor_ms_each(lambda: log.rewrite({LEASE: roster.table.snapshot()}))
+        recover_ms = probe.processor_ms_each(lambda: recover(Path(folder)))
+        found = recover(Path(folder))
+        assert len(found.in_force()) == members
+        return {"join_log_bytes": join_bytes, "log_bytes": log.log.at, "compact_ms": compact_ms,
+                "recover_ms": recover_ms}
+
+
+def members_once(members: int) -> dict[str, float]:
+    """A beat, the service's look at who is late, and the list that members are told."""
+    roster = worlds.roster(members)
+    name = worlds.member(members // 2)
+    token = roster.members[name].token
+    now_us = roster.table.read(f"member/{name}").until_us - worlds.LEASE_US // 2  # type: ignore[union-attr]
+    made = roster.beat(now_us, name, token)
+    since = roster.version - 1
+    whole, change = roster.owed(None, None), roster.owed(since, roster.epoch)
+    return {
+        "beat_ms": probe.processor_ms_each(lambda: roster.beat(now_us, name, token)),
+        "tick_ms": probe.processor_ms_each(lambda: roster.tick(now_us)),
+        "due_ms": probe.processor_ms_each(roster.next_us),
+        "told_whole_ms": probe.processor_ms_each(lambda: msgspec.json.encode(roster.owed(None, None))),
+        "told_whole_bytes": len(msgspec.json.encode(whole)),
+        "told_change_ms": probe.processor_ms_each(
+            lambda: msgspec.json.encode(roster.owed(since, roster.epoch))),
+        "told_change_bytes": len(msgspec.json.encode(change)),
+        "beat_log_bytes": 0 if made.record is None else len(json.dumps(made.record)),  # type: ignore[union-attr]
+        **log_once(members),
+    }
+
+
+def run_members(progress: Progress) -> Iterable[Series]:
+    growth = grow(SIZES, members_once, progress, REPEATS)
+    for key, unit in UNITS.items():
+        yield Series(f"members_{key}", Role.MEMBERS, "members", unit, growth.of(key), growth.bound)
+
+
+MEASUREMENTS = (
+    Measurement("control_members", "leases, members, their list and the log against members", run_members),
+)
--- /dev/null
+++ b/measure/scale/control_worlds.py
@@ -0,0 +1,138 @@
+"""Lists, budgets, configurations and forwarders of any size, the same at each run."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from lemonshunt.lease.table import Table
+from lemonshunt.lease.terms import Terms
+from lemonshunt.lease.token import Token
+from lemonshunt.member.roster import Roster
+from lemonshunt.net.config import Address, Config, HostList, host_list, parse
+from lemonshunt.net.engine import Engine
+from lemonshunt.registry.core import Registry
+
+NOWHERE = Address("127.0.0.1", 9)
+ZONES = 6
+SECOND_US = 1_000_000
+LEASE_US = 3 * SECOND_US
+DRIFT = 0.02
+DISK_BYTES = 1 << 30
+"""Room enough for any list, so that no write is left out."""
+SETTINGS: dict[str, Any] = {
+    "allowed": {"conn_idle_us": 5_000_000, "dial_timeout_us": 1_000_000, "max_attempts": 6,
+                "max_open": 1_000_000, "max_retry_after_us": 3_000_000, "retry_after": True,
+                "may_cancel": True},
+    "balancers": 540,
+    "contract": {"grace_to_answer_us": 20_000, "drain_grace_us": 500_000, "ask_within_us": 10_000_000},
+    "discovery": "on_request",
+    "family_info": {"slots": 64, "kind_batch": [1], "routes_apart": [False]},
+    "host_types": ["plain"],
+    "orgs": [{"name": "acme", "allowance_per_s": 1_000.0, "fraction": 1.0}],
+    "over_share_worth": 0.1,
+    "services": [{"name": "status", "aim_us": 400_000, "deadline_us": 4_000_000, "effect": "repeatable",
+                  "by_arrival": False}],
+    "telemetry": {"fields": [], "how": "none"},
+    "weight_source": "nominal",
+}
+
+
+def dial(number: int) -> str:
+    """A private address of its own for each endpoint or member."""
+    return f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080"
+
+
+def endpoint(number: int, health: str = "up") -> dict[str, Any]:
+    """One entry of the list: a destination of its own for each."""
+    return {"host": f"endpoint-{number}.zone-{number % ZONES}", "dial": dial(number),
+            "site": f"zone-{number % ZONES}", "class": "plain", "block": number, "share": 200.0,
+            "born_ms": 1_764_000_000_000 + number, "health": health}
+
+
+def registry(count: int) -> Registry:
+    """A list service's state with so many endpoints, one change each."""
+    made = Registry(epoch=1, seq=count)
+    changes = {"epoch": 1, "seq": count, "floor": 0, "fence": 1, "ids": [],
+               "entries": [[n + 1, endpoint(n)] for n in range(count)]}
+    return made.restored(changes)
+
+
+def roster(count: int, now_us: int = 0) -> Roster:
+    """A roster of so many members, joined and in force."""
+    table = Table(Terms(DRIFT))
+    table.commit(table.start(now_us, sure=True, least_epoch=1))
+    made = Roster(table, LEASE_US)
+    made.started(now_us)
+    opened_us = now_us + 2 * table.longest_us
+    for number in range(count):
+        zone = f"zone-{number % ZONES}"
+        grant = made.join(opened_us, member(number), zone, dial(number), f"run-{number:x}")
+        made.commit(grant.record)  # type: ignore[union-attr, arg-type]
+    return made
+
+
+def member(number: int) -> str:
+    return f"forwarder-{number}"
+
+
+def token(number: int) -> Token:
+    return Token(1_764_000_000, number + 1)
+
+
+def budget(number: int, calls: int, members: int, reserve: int = 0) -> dict[str, Any]:
+    """One budget as the list service's file has it."""
+    return {"destination": str(number), "calls": calls, "span_ms": 1_000, "reserve": reserve,
+            "members_max": members}
+
+
+def share(calls: int = 7, number: int = 12) -> dict[str, int]:
+    """A share of one budget as the answer to a beat tells it."""
+    return {"calls": calls, "number": number, "reserve": 1, "whole": 2_000, "span_ms": 1_000, "slack_ms": 5}
+
+
+def fleet_part(budgets: int = 0, peers: int = 0) -> dict[str, Any]:
+    """The `fleet` object of a forwarder's configuration."""
+    made: dict[str, Any] = {"service": "127.0.0.1:9", "site": "zone-0", "lease_ms": LEASE_US // 1_000,
+                            "drift": DRIFT}
+    if budgets:
+        made["budgets"] = [{"destination": n, "span_ms": 1_000, "calls": 2_000, "members": 540, "reserve": 1}
+                           for n in range(budgets)]
+    if peers:
+        made["listen"] = "127.0.0.1:9"
+        made["peers"] = {member(n): dial(n) for n in range(peers)}
+    return made
+
+
+def configuration(endpoints: int = 0, fleet: Mapping[str, Any] | None = None) -> dict[str, Any]:
+    """A forwarder's whole file."""
+    made: dict[str, Any] = {
+        "name": member(0), "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "1",
+        "limits": {"cores": 1, "memory_mb": 256, "sockets": 1024, "disk_mb": 1_000},
+        "known": {"seq": 1, "whole": True, "hosts": [endpoint(n) for n in range(endpoints)]},
+        "settings": SETTINGS,
+    }
+    return made if fleet is None else made | {"fleet": dict(fleet)}
+
+
+def config(folder: Path, told: Mapping[str, Any] | None = None) -> Config:
+    """That file, read."""
+    return parse(dict(told or configuration()), {"LB_STATE": str(folder)})
+
+
+def engine(folder: Path, told: Mapping[str, Any] | None = None) -> Engine:
+    """A forwarder without any connection, in a running loop, with a journal that has room."""
+    return Engine(config(folder, told))
+
+
+def whole_list(count: int) -> bytes:
+    """What a reader of the whole list is answered."""
+    return json.dumps({"seq": count, "whole": True, "epoch": 1, "hosts": [endpoint(n) for n in range(count)]},
+                      separators=(",", ":")).encode()
+
+
+def changed_entry(count: int, number: int, health: str) -> HostList:
+    """News of one endpoint of so many, as read from the wire."""
+    return host_list({"seq": count + 1, "whole": False, "epoch": 1, "hosts": [endpoint(number, health)]})
