--- a/measure/scale/control_members.py
+++ b/measure/scale/control_members.py
@@ -26,8 +26,9 @@
 LATER_US = 4 * worlds.LEASE_US
 UNITS = {
     "beat_ms": "ms of processor time", "tick_ms": "ms of processor time", "due_ms": "ms of processor time",
-    "told_whole_ms": "ms of processor time", "told_whole_bytes": "bytes", "told_change_ms": "ms of processor time",
-    "told_change_bytes": "bytes", "beat_log_bytes": "bytes", "join_log_bytes": "bytes",
+    "told_whole_ms": "ms of processor time", "told_whole_bytes": "bytes",
+    "told_change_ms": "ms of processor time", "told_change_bytes": "bytes",
+    "beat_log_bytes": "bytes", "join_log_bytes": "bytes",
     "log_bytes": "bytes", "compact_ms": "ms of processor time", "recover_ms": "ms of processor time",
 }
 
