Measure the list service's whole look at budgets at rest, and the memory of its ledger

A plan at rest was measured without the service's search for what falls due next, which goes through all accounts a second time, and without memory.

--- a/measure/scale/control_division.py
+++ b/measure/scale/control_division.py
@@ -9,9 +9,10 @@
 from lemonshunt.budget.config import checked
 from lemonshunt.budget.divide import divide
 from lemonshunt.budget.ledger import Ledger
+from lemonshunt.registry.budgets import Budgets
 from measure.scale import control_probe as probe
 from measure.scale import control_worlds as worlds
-from measure.scale.growth import Growth, grow
+from measure.scale.growth import Growth, grow, isolated
 from measure.scale.results import Measurement, Progress, Series
 from measure.scale.target import FORWARDERS, Role
 
@@ -57,14 +58,30 @@
     return now_us
 
 
+def ledger_bytes(members: int, budgets: int) -> int:
+    """In a process of its own: memory that a ledger at rest keeps."""
+    before = probe.resident_bytes()
+    made = ledger(members, budgets)
+    settle(made, 0)
+    return probe.resident_bytes() - before
+
+
+def service_rest_ms(made: Ledger, now_us: int) -> float:
+    """A plan at rest as the list service makes it: it also looks for when something falls due next."""
+    rider = Budgets(worlds.LEASE_US, worlds.DRIFT)
+    rider.ledger = made
+    return probe.processor_ms_each(lambda: rider.plan(now_us, False, []))
+
+
 def ledger_once(members: int, budgets: int) -> dict[str, float]:
     """At rest: a plan that finds nothing due, a beat that says nothing new, its answer. Then a plan after a
-    member's need changed in one budget."""
+    member's need changed in one budget; and the memory."""
     made = ledger(members, budgets)
     now_us = settle(made, 0)
     token = worlds.token(0)
     holds = {d: (s.calls, s.number) for d, s in made.told(token).items()}
     rest_ms = probe.processor_ms_each(lambda: made.plan(now_us))
+    service_ms = service_rest_ms(made, now_us)
     beat_ms = probe.processor_ms_each(lambda: made.beat(token, {}, holds, now_us))
     told_ms = probe.processor_ms_each(lambda: made.told(token))
     clock = itertools.count(now_us + 2 * worlds.SECOND_US, 2 * worlds.SECOND_US)
@@ -78,12 +95,14 @@
             made.commit(change)
 
     stirred_ms = probe.processor_ms(stirred)
-    return {"rest_ms": rest_ms, "beat_ms": beat_ms, "told_ms": told_ms, "stirred_ms": stirred_ms}
+    return {"rest_ms": rest_ms, "service_rest_ms": service_ms, "beat_ms": beat_ms, "told_ms": told_ms,
+            "stirred_ms": stirred_ms, "kept_bytes": isolated(ledger_bytes, members, budgets)}
 
 
 def series(prefix: str, size_unit: str, growth: Growth) -> Iterable[Series]:
     for key in growth.points:
-        yield Series(f"{prefix}_{key}", Role.BUDGETS, size_unit, MS, growth.of(key), growth.bound)
+        unit = "bytes" if key.endswith("_bytes") else MS
+        yield Series(f"{prefix}_{key}", Role.BUDGETS, size_unit, unit, growth.of(key), growth.bound)
 
 
 def run_division(progress: Progress) -> Iterable[Series]:
