Say why the list service's measurement cannot end, and join anew after a lost lease

`measure/fleet_service.py 1 540` could run without an end or a word. The script was the cause, in three ways, each reproduced: - 540 members take 1,080 connections. Where the limit of descriptors is lower, members' tasks ended one by one with EMFILE, and nobody looked at the tasks (limit 512: no figures after 40 s, 15 MB of errors; limit 1,024: EMFILE only after 10 s, at the first reading of figures). - A member whose lease was lost on a starved machine (409 `lost` has no `retry_ms`) ended with KeyError, also unseen (reproduced with the run and two busy loops pinned to one core). - The wait for settled shares had no bound, and then waited for shares that nobody asked for. Now the limit is raised as far as it is needed and allowed, or the run says at once that it does not suffice; a lost lease joins anew and is counted; a member that fails ends the run with its error; the wait ends after 60 s with a line that says what is missing; each run leaves a line. A whole is 50 calls for each member (10,000 at 200, as before): at 540 the fixed 10,000 were less than the 11,340 needed, so that nobody could get all.

Under a hard limit of 1,024: one line, exit 1.

--- a/measure/fleet_service.py
+++ b/measure/fleet_service.py
@@ -5,7 +5,8 @@
 
 A change: a tenth of the members needs twelve times as much of one budget as before, so that shares of all
 others shrink, cool for a span, and move. Twice: watches that name their member (woken by what concerns it),
-and watches that do not (woken by every change).
+and watches that do not (woken by every change). Wall times hold for a machine that is not loaded otherwise;
+the service's part of a core is its processor time.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import asyncio
 import json
 import random
+import resource
 import statistics
 import subprocess
 import sys
@@ -25,9 +27,28 @@
 sys.path.insert(0, str(ROOT))
 
 LEASE_MS, SPAN_MS, DRIFT = 3_000, 1_000, 0.02
-CALLS, RESERVE = 10_000, 5
+CALLS_A_MEMBER, RESERVE = 50, 5  # a whole is so many calls for each member: more than all need together
 STEADY_S, CHANGE_S = 4.0, 5.0  # how long is counted at rest, and after a change
 BUSY, REST = 120, 10  # calls needed in a span
+QUIET_S = 60.0  # until all shares rest, at the latest
+CONNECTIONS = 2  # of a member: beats and watch
+SPARE = 100  # descriptors of either process beside these connections
+
+
+class Stuck(Exception):
+    """The run cannot come to its end; the text says why."""
+
+
+def allow_descriptors(count: int) -> None:
+    """Raise this process's limit, which the service inherits, as far as the run needs and is allowed. Raises
+    Stuck where that is not enough: connections past the limit would fail one by one."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    needed = count * CONNECTIONS + SPARE
+    if resource.RLIM_INFINITY in (soft, hard) and soft >= needed:
+        return
+    if hard != resource.RLIM_INFINITY and hard < needed:
+        raise Stuck(f"{count} members need {needed} descriptors, and the limit is {hard}")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, needed), hard))
 
 
 class Link:
@@ -65,6 +86,7 @@
         self.shares: dict[str, Any] = {}
         self.sent = self.version = 0
         self.at = 0.0  # when a share of it last changed
+        self.lost = 0  # how often its lease was out before it was renewed
 
     async def run(self) -> None:
         watching: asyncio.Task[None] | None = None
@@ -74,15 +96,22 @@
                 "name": self.name, "site": "a", "dial": "127.0.0.1:1", "run": self.name, "token": self.token,
                 "sent": self.sent, "needs": self.needs, "list": self.list,
                 "holds": {d: [s["calls"], s["number"]] for d, s in self.shares.items()}})
-            if status == 409:
+            if status == 409 and told["error"] == "held":
                 await asyncio.sleep(told["retry_ms"] / 1000)
                 continue
+            if status == 409:
+                self.rejoin()
+                continue
+            if status != 200:
+                raise Stuck(f"{self.name}: status {status}: {told}")
             if self.shares != told["shares"]:
                 self.at = time.perf_counter()
                 self.go.set()  # acknowledged at once
             self.token, self.list, self.version = told["token"], told["list"], told["version"]
             self.shares = told["shares"]
             if watching is None or watching.done():
+                if watching is not None:
+                    watching.result()
                 watching = asyncio.create_task(self.news())
             try:
                 await asyncio.wait_for(self.go.wait(), LEASE_MS / 3e3 * self.rng.uniform(0.9, 1.0))
@@ -90,6 +119,11 @@
                 pass
             self.go.clear()
 
+    def rejoin(self) -> None:
+        """The lease is lost: the next beat joins as a new member."""
+        self.token, self.list, self.shares = None, None, {}
+        self.lost += 1
+
     async def news(self) -> None:
         name = self.name if self.named else ""
         path = f"/v1/fleet/watch?from={self.version}&hold_ms=30000&name={name}"
@@ -97,15 +131,24 @@
         self.go.set()
 
 
-async def quiet(members: list[Member], for_s: float) -> None:
-    """Until no share of any has changed for so long, and all have theirs."""
+async def quiet(members: list[Member], tasks: list[asyncio.Task[None]], for_s: float) -> None:
+    """Until no share of any has changed for so long, and all have theirs. Raises Stuck where that does not
+    come, and what a member's task failed with."""
+    until = time.perf_counter() + QUIET_S
     while not all(m.shares for m in members) or time.perf_counter() - max(m.at for m in members) < for_s:
+        for task in tasks:
+            if task.done():
+                task.result()
+        if time.perf_counter() > until:
+            have, lost = sum(bool(m.shares) for m in members), sum(m.lost for m in members)
+            raise Stuck(f"after {QUIET_S:g} s {have} of {len(members)} members have shares, and leases were"
+                        f" lost {lost} times")
         await asyncio.sleep(0.1)
 
 
 async def play(count: int, named: bool, folder: Path) -> dict[str, float]:
-    budgets = [{"destination": str(n), "calls": CALLS, "span_ms": SPAN_MS, "reserve": RESERVE,
-                "members_max": count} for n in range(3)]
+    budgets = [{"destination": str(n), "calls": CALLS_A_MEMBER * count, "span_ms": SPAN_MS,
+                "reserve": RESERVE, "members_max": count} for n in range(3)]
     (folder / "b.json").write_text(json.dumps({"budgets": budgets}))
     words = ["--state", folder / "s", "--listen", "127.0.0.1:0", "--write", "127.0.0.1:0", "--fleet",
              "127.0.0.1:0", "--new", "--reserves-known", "--budgets", folder / "b.json", "--ports",
@@ -127,7 +170,7 @@
             cpu = Path(f"/proc/{service.pid}/stat").read_text().rpartition(")")[2].split()[11:13]
             return (*counts["beat"], *counts["watch"], syncs, sum(map(int, cpu)) / 100)
 
-        await quiet(members, 2.5)
+        await quiet(members, tasks, 2.5)
         before = await marks()
         await asyncio.sleep(STEADY_S)
         rest = [b - a for a, b in zip(before, await marks(), strict=True)]
@@ -144,6 +187,7 @@
             "ms until the last share was told": (max(m.at for m in members) - began) * 1000,
             "part of those who asked that got all": len(served) / (count // 10),
             "members whose share changed": sum(m.at > began for m in members),
+            "leases lost": sum(m.lost for m in members),
             "syncs of the change": after[4],
             "beats of the change": after[0] - rest[0] * CHANGE_S / STEADY_S,
             "watches answered in the change": after[2],
@@ -160,11 +204,13 @@
 
 
 async def main(repeats: int, count: int) -> None:
+    allow_descriptors(count)
     for said, named in (("watches that name their member", True), ("watches that do not", False)):
         found = []
-        for _ in range(repeats):
+        for repeat in range(repeats):
             with tempfile.TemporaryDirectory() as folder:
                 found.append(await play(count, named, Path(folder)))
+            print(f"{said}: run {repeat + 1} of {repeats} done", file=sys.stderr, flush=True)
         print(f"{count} members, 3 budgets, {said}, {repeats} runs:")
         for name in found[0]:
             values = [figures[name] for figures in found]
@@ -172,4 +218,7 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main(*map(int, (sys.argv[1:] + ["5", "200"][len(sys.argv) - 1:])[:2])))
+    try:
+        asyncio.run(main(*map(int, (sys.argv[1:] + ["5", "200"][len(sys.argv) - 1:])[:2])))
+    except Stuck as error:
+        sys.exit(f"fleet_service: {error}")
