Bound the list service's connections by its descriptors, and raise their limit as allowed

Two connections a member and one for the list make 1,620 for 540 members, and 1,024 descriptors are a usual limit. Past it the kernel refused the service's accept: connections stood in the backlog with no answer, so members saw silence and lost their leases, though 20,000 connections were promised. At its start the service now raises its soft limit as far as its bound needs and the hard limit allows; where that is not enough the bound comes down to what there is, with a warning, and who finds no place is answered 503 as past any bound.

--- a/lemonshunt/registry/__main__.py
+++ b/lemonshunt/registry/__main__.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -18,6 +19,7 @@
 from lemonshunt.lease.terms import Refused, Terms
 from lemonshunt.member.roster import Roster
 from lemonshunt.registry import budget_calls
+from lemonshunt.registry.bounds import OWN_DESCRIPTORS, Bounds, within_descriptors
 from lemonshunt.registry.budget_calls import read_file
 from lemonshunt.registry.disk import Damaged, Disk
 from lemonshunt.registry.parts import Parts, lead
@@ -96,6 +98,26 @@
         log.error("budgets not taken", extra={"why": str(error) or "too much waits to be written"})
 
 
+def allowed_bounds() -> Bounds:
+    """The usual bounds, as far as this process's limit of descriptors goes once it is raised as far as it is
+    needed and allowed."""
+    wanted = Bounds()
+    needed = wanted.connections + OWN_DESCRIPTORS
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    unlimited = resource.RLIM_INFINITY
+    limit = needed if hard == unlimited else min(needed, hard)
+    if soft != unlimited and soft < limit:
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+        except (OSError, ValueError):
+            limit = soft
+    bounds = within_descriptors(wanted, limit)
+    if bounds.connections < wanted.connections:
+        log.warning("fewer connections than usual", extra={"connections": bounds.connections,
+                                                           "descriptors": limit})
+    return bounds
+
+
 async def serve(args: argparse.Namespace) -> int:
     terms = Terms(args.drift, most_ttl_us=args.longest_ms * 1_000)
     if args.fleet:
@@ -107,7 +129,7 @@
               " be had again, start with --new", file=sys.stderr)
         return 2
     registry, had = disk.load()
-    service = Service(disk, registry)
+    service = Service(disk, registry, bounds=allowed_bounds())
     if not had:
         await service.begin()
     parts = None
--- a/lemonshunt/registry/bounds.py
+++ b/lemonshunt/registry/bounds.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+OWN_DESCRIPTORS = 24
+"""Descriptors that the process holds beside connections: the standard ones, the loop's, listeners, files."""
+LEAST_CONNECTIONS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,3 +37,10 @@
     """Epochs that readers' claims may begin at once ..."""
     lift_s: float = 60.0
     """... and one more after each such time."""
+
+
+def within_descriptors(bounds: Bounds, descriptors: int) -> Bounds:
+    """Bounds with no more connections than so many descriptors allow. Past the kernel's limit a connection
+    would stand unaccepted, with no answer; past this bound it is answered 503."""
+    most = max(LEAST_CONNECTIONS, descriptors - OWN_DESCRIPTORS)
+    return replace(bounds, connections=min(bounds.connections, most))
