Measure the fleet's control with hollow members against the real list service

What one forwarder's control costs, and how the list service bears hundreds, was known for a handful of real processes only: no machine holds 540 of them.

--- /dev/null
+++ b/measure/scale/service_process.py
@@ -0,0 +1,156 @@
+"""The list service as a process of its own, and what it says and costs."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from measure.scale.memory import resident_bytes
+from measure.scale.results import ROOT
+
+LEASE_MS = 3_000
+SPAN_MS = 1_000
+CALLS_A_MEMBER = 50
+"""A budget's whole is so many calls for each member: more than all need together."""
+SEATS = 2
+"""Processes with a reserve of one call, for each member: restarts without a folder find one."""
+START_S = 20.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """What the service has used since its start, at a moment."""
+
+    at_s: float
+    processor_s: float
+    syncs: int
+
+    def core_share(self, before: Spent) -> float:
+        return (self.processor_s - before.processor_s) / (self.at_s - before.at_s)
+
+    def syncs_per_s(self, before: Spent) -> float:
+        return (self.syncs - before.syncs) / (self.at_s - before.at_s)
+
+
+class ListService:
+    """`start` once, and again after `kill`; `close` at the end. Ports stay the same over restarts."""
+
+    def __init__(self, folder: Path, members: int, budgets: int) -> None:
+        self.folder, self.members = folder, members
+        self.process: subprocess.Popen[bytes] | None = None
+        self.listen_port = self.write_port = self.fleet_port = 0
+        self.write_budgets(budgets, CALLS_A_MEMBER * members)
+
+    def write_budgets(self, budgets: int, calls: int) -> None:
+        """The file of budgets; all of one whole, but the first, which has `calls`."""
+        wholes = [calls] + [CALLS_A_MEMBER * self.members] * (budgets - 1)
+        told = [
+            {
+                "destination": str(number),
+                "calls": whole,
+                "span_ms": SPAN_MS,
+                "reserve": 1,
+                "members_max": SEATS * self.members,
+            }
+            for number, whole in enumerate(wholes)
+        ]
+        beside = self.folder / "budgets.new"
+        beside.write_text(json.dumps({"budgets": told}))
+        beside.replace(self.folder / "budgets.json")
+
+    def start(self) -> None:
+        """Start the program and wait until its addresses are open."""
+        ports_file = self.folder / "ports"
+        ports_file.unlink(missing_ok=True)
+        ports = self.listen_port, self.write_port, self.fleet_port
+        listen, write, fleet = (f"127.0.0.1:{port}" for port in ports)
+        words = ["--state", self.folder / "service", "--listen", listen, "--write", write, "--fleet", fleet]
+        words += ["--budgets", self.folder / "budgets.json", "--ports", ports_file, "--reserves-known"]
+        words += ["--lease-ms", LEASE_MS, "--longest-ms", LEASE_MS, "--new"]
+        with (self.folder / "service.log").open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lemonshunt.registry", *map(str, words)], cwd=ROOT, stderr=log
+            )
+        until = time.monotonic() + START_S
+        while not ports_file.exists() or not ports_file.read_text().endswith("\n"):
+            if time.monotonic() > until or self.process.poll() is not None:
+                raise RuntimeError(f"the list service did not start: {self.last_lines()}")
+            time.sleep(0.02)
+        self.listen_port, self.write_port, self.fleet_port = map(int, ports_file.read_text().split())
+
+    def last_lines(self) -> str:
+        return (self.folder / "service.log").read_text()[-500:]
+
+    def kill(self) -> None:
+        """End it as a crash would."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+
+    def close(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.terminate()
+            self.process.wait()
+
+    def reload(self) -> None:
+        assert self.process is not None
+        self.process.send_signal(signal.SIGHUP)
+
+    def call(self, port: int, method: str, path: str, body: Any = None) -> Any:
+        """One call of staff. Raises RuntimeError where it is not carried out."""
+        link = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+        try:
+            link.request(method, path, None if body is None else json.dumps(body))
+            answer = link.getresponse()
+            text = answer.read()
+        finally:
+            link.close()
+        if answer.status != 200:
+            raise RuntimeError(f"{method} {path}: status {answer.status}: {text[:300]!r}")
+        return json.loads(text)
+
+    def change_hosts(self, operations: list[Mapping[str, Any]]) -> int:
+        """Change entries of the list; the version that has them."""
+        return int(self.call(self.write_port, "POST", "/v1/hosts", {"ops": operations})["seq"])
+
+    def figures(self) -> dict[str, Any]:
+        return dict(self.call(self.write_port, "GET", "/_vars"))
+
+    def spent(self) -> Spent:
+        syncs = int(self.figures()["fleet_syncs"])
+        return Spent(time.monotonic(), self.processor_s(), syncs)
+
+    def processor_s(self) -> float:
+        """User and system time of the process, from the kernel; its steps are 10 ms."""
+        assert self.process is not None
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def resident_bytes(self) -> int:
+        assert self.process is not None
+        return resident_bytes(str(self.process.pid))
+
+
+def host_entry(number: int, health: str = "up") -> dict[str, Any]:
+    """The operation that lists a host, or changes it."""
+    return {
+        "op": "register",
+        "host": f"host-{number}",
+        "dial": f"127.0.0.1:{10_000 + number}",
+        "site": "zone-0",
+        "class": "plain",
+        "block": number,
+        "share": 10.0,
+        "born_ms": 0,
+        "health": health,
+    }
