Encode each member once for the answers that list members, so that 1,000 may join at once

Whoever joins is told of all members, and after a start of the list service each is. Every such answer was made from the ground up: a table of each member's fields, 532,000 of them while 540 members joined, over half of the time of all beats (profile: 1.77 of 2.99 s in `Roster.owed`). With 1,000 members starting together answers came after more than the second that a member waits; each then dialled anew and asked for the whole list again, so the service stayed at one whole core for answers that nobody waited for. Now a member is encoded once for each state it is in, and a beat with nothing new no longer sorts all members.

Checked and ruled out: descriptors (20,000 allowed), the disk (63 syncs in 32 s), refusals past a bound (none). Not mended here: the bytes, since a forwarder is sent a list that it does not read.

Red without it: test_members_that_join_are_told_of_all_but_each_is_encoded_once, "assert 465 == 30".

--- a/lemonshunt/member/roster.py
+++ b/lemonshunt/member/roster.py
@@ -149,12 +149,19 @@
         """The answer to a reader who has version `since` of `epoch`: `{"epoch", "version", "whole",
         "members"}`. Changes since then, merged, those that are gone included; the whole list, without them,
         to a reader from another epoch, from ahead, or from before what is still told of."""
-        whole = since is None or epoch != self.epoch or not self.floor <= since <= self.version
-        found = (self.in_force() if whole or since is None else
-                 [m for _, m in sorted(self.members.items()) if m.version > since])
+        whole, found = self.owed_members(since, epoch)
         return {"epoch": self.epoch, "version": self.version, "whole": whole,
                 "members": [m.told() for m in found]}
 
+    def owed_members(self, since: int | None, epoch: int | None) -> tuple[bool, list[Member]]:
+        """Whether these are the whole list, and the members that `owed` tells of, by name."""
+        if since is None or epoch != self.epoch or not self.floor <= since <= self.version:
+            return True, self.in_force()
+        if since == self.version:  # nearly every beat
+            return False, []
+        changed = [m for m in self.members.values() if m.version > since]
+        return False, sorted(changed, key=lambda m: m.name)
+
     # -- records ---------------------------------------------------------------------------------------
 
     def commit(self, record: Record) -> None:
--- a/lemonshunt/registry/calls.py
+++ b/lemonshunt/registry/calls.py
@@ -15,6 +15,7 @@
 from lemonshunt.registry import bodies
 from lemonshunt.registry.bodies import Refused, Version
 from lemonshunt.registry.fleet import Fleet
+from lemonshunt.registry.member_list import MemberList
 from lemonshunt.registry.reads import MOST_HOLD_MS
 from lemonshunt.registry.web import answer, fault, get, json_body
 
@@ -76,7 +77,7 @@
 
 
 def routes(fleet: Fleet) -> list[web.RouteDef]:
-    house = fleet.house
+    house, member_list = fleet.house, MemberList()
 
     async def beat(request: web.Request) -> web.StreamResponse:
         raw = await json_body(request, house.bounds)
@@ -104,13 +105,14 @@
             raise Fenced(error) from None
         except OSError as error:
             raise _unkept(error) from None
-        owed = fleet.roster.owed(*(reversed(call.list) if call.list else (None, None)))
+        epoch, since = call.list or (None, None)
+        whole, members = fleet.roster.owed_members(since, epoch)
         member = fleet.roster.members.get(call.name)
         return answer(200, {
             "token": made.token.told(), "ttl_ms": made.ttl_us // 1_000, "sent": call.sent,
             "version": fleet.version, "state": "lost" if member is None else member.state,
-            "list": [owed["epoch"], owed["version"]], "whole": owed["whole"], "members": owed["members"],
-            **parts})
+            "list": [fleet.roster.epoch, fleet.roster.version], "whole": whole,
+            "members": member_list.encoded(members), **parts})
 
     async def watch(request: web.Request) -> web.StreamResponse:
         ask = bodies.query(request.query, Watch)
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -5,10 +5,36 @@
 import asyncio
 import resource
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
+from typing import Any
 
+import msgspec
 import pytest
 
+from lemonshunt.lease.holder import Holder
+from lemonshunt.lease.table import Grant, Table
+from lemonshunt.lease.terms import Terms
+from lemonshunt.lease.token import Token
+from lemonshunt.member.roster import Member, Roster
+from lemonshunt.net import fleet_config
+from lemonshunt.net.fleet_beat import body
+from lemonshunt.net.fleet_books import Books
+from lemonshunt.registry.budgets import Budgets
+from lemonshunt.registry.watch import Watchers
+from tests.test_registry_bounds import Clock, Run, play
+from tests.test_registry_fleet import beat, lead
+
+SECOND_US = 1_000_000
+LEASE_US = 3 * SECOND_US
+AFTER_START_US = 100 * SECOND_US
+"""The longest lease of a history that nobody knows is over."""
+A_BUDGET_BYTES = 130
+"""Of a beat with its answer, for each budget there is; without any it takes the rest."""
+BARE_BEAT_BYTES = 400
+CALLS_AN_ACCOUNT = 60
+"""Function calls of a plan at rest, for each member and budget."""
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 20.0
 
@@ -45,3 +71,121 @@
     told = [line.split()[1] for line in asyncio.run(run())]
     assert set(told) == {b"200", b"503"}
     assert told.count(b"503") < descriptors // 2
+
+
+class BudgetFleet:
+    """Members and the service's budgets without I/O, by an injected clock, until all shares rest."""
+
+    def __init__(self, members: int, budgets: int) -> None:
+        self.service, self.now_us = Budgets(LEASE_US, 0.02), 10 * SECOND_US
+        self.service.lifted(1)
+        self.service.restored(0, True, None, [])
+        raw = [{"destination": str(number), "calls": 50 * members, "span_ms": 1_000, "reserve": 1,
+                "members_max": 2 * members} for number in range(budgets)]
+        self.commit(self.service.configured(0, raw, "file"))
+        self.commit(self.service.forget(0, None))
+        self.needs = {str(number): {"order": 2} for number in range(budgets)}
+        self.members = {Token(1, number + 1): Books((), 0.02, {}, 0) for number in range(members)}
+        for token in self.members:
+            self.service.joined(0, f"member-{token.number}", token, None)
+        for _ in range(12):
+            self.turn()
+
+    def commit(self, rows: list[dict[str, Any]]) -> None:
+        for row in rows:
+            self.service.commit(self.now_us, row)
+
+    def turn(self) -> None:
+        """A beat of each member, and a plan after them."""
+        self.now_us += SECOND_US
+        for token in self.members:
+            self.beat(token)
+        self.commit(self.service.plan(self.now_us, False, []))
+
+    def beat(self, token: Token) -> int:
+        """Bytes of one beat's body and of the budgets in its answer."""
+        books, holder = self.members[token], Holder(LEASE_US, 0.02, lambda: 0.5)
+        holder.token = holder.seen = token
+        config = fleet_config.read({"service": "127.0.0.1:1", "site": "zone-0"}, f"member-{token.number}")
+        sent = body(config, "127.0.0.1:1", "0" * 16, holder.asked(self.now_us), self.needs,
+                    {"list": [1, 1], "holds": books.holds(token)})
+        heard = self.service.heard(self.now_us, self.now_us + LEASE_US, config.name, token,
+                                   msgspec.json.decode(sent))
+        told = heard.tell()
+        shares = {int(destination): share for destination, share in told["shares"].items()}
+        books.told(token, shares, self.now_us + LEASE_US, self.now_us)
+        return len(sent) + len(msgspec.json.encode(told))
+
+
+def function_calls(work: Callable[[], Any]) -> int:
+    """Python functions that are called in it."""
+    calls = 0
+
+    def count(_: Any, event: str, __: Any) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+def test_a_beat_grows_with_the_budgets_there_are_and_not_with_the_members() -> None:
+    sizes = {(members, budgets): fleet.beat(Token(1, 1))
+             for members, budgets in ((4, 1), (4, 10), (4, 100), (40, 10))
+             for fleet in [BudgetFleet(members, budgets)]}
+    for (_, budgets), size in sizes.items():
+        assert size <= BARE_BEAT_BYTES + A_BUDGET_BYTES * budgets
+    assert abs(sizes[40, 10] - sizes[4, 10]) <= 10 * 4, "digits of numbers, no more"
+
+
+def test_a_plan_at_rest_looks_at_each_account_and_reports_nothing() -> None:
+    for members, budgets in ((10, 3), (40, 3), (10, 30)):
+        fleet = BudgetFleet(members, budgets)
+        calls = function_calls(partial(fleet.service.plan, fleet.now_us + 1, False, []))
+        assert calls <= CALLS_AN_ACCOUNT * members * budgets
+
+
+def test_one_change_tells_one_entry_to_one_watcher_at_any_size() -> None:
+    for members in (10, 300):
+        table = Table(Terms())
+        roster = Roster(table, LEASE_US)
+        table.commit(table.start(0, True))
+        roster.started(0)
+        for number in range(members):
+            made = roster.join(AFTER_START_US, f"member-{number}", "zone-0", "h:1", f"run-{number}")
+            assert isinstance(made, Grant) and made.record is not None
+            roster.commit(made.record)
+        before, epoch = roster.version, roster.epoch
+        roster.commit(roster.leave(AFTER_START_US, "member-7", roster.members["member-7"].token))
+        whole, told = roster.owed_members(before, epoch)
+        assert not whole and [member.name for member in told] == ["member-7"]
+        assert roster.owed_members(roster.version, epoch) == (False, [])
+        watchers = Watchers()
+        watchers.began(1)
+        watchers.changed({"member-7"})
+        names = [f"member-{number}" for number in range(members)]
+        assert [name for name in names if watchers.behind(1, name)] == ["member-7"]
+        assert watchers.behind(1), "one that names no member is woken by every change"
+
+
+def test_members_that_join_are_told_of_all_but_each_is_encoded_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock, members, encoded = Clock(), 30, list[str]()
+    told_of = Member.told
+    monkeypatch.setattr(Member, "told", lambda member: encoded.append(member.name) or told_of(member))
+
+    async def run(service: Run) -> None:
+        clock.us += AFTER_START_US
+        for number in range(members):
+            status, told = await beat(service, f"member-{number}")
+            assert status == 200 and told["whole"]
+            assert [member["name"] for member in told["members"]] == sorted(
+                f"member-{known}" for known in range(number + 1))
+        assert len(encoded) == members
+
+    play(tmp_path, run, clock, lead())
