--- /dev/null
+++ b/measure/scale/hollow_peaks.py
@@ -0,0 +1,57 @@
+"""The busiest moments of a fleet, from the samples of its processes."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from measure.scale.hollow_process import Sample
+
+STEP_NS = 100_000_000
+SECOND_NS = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Peaks:
+    """The most of all processes together: in a second, and for connections also in a tenth of one."""
+
+    beats: int
+    bytes: int
+    opened: int
+    opened_tenth: int
+
+
+def peaks(processes: Sequence[Sequence[Sample]]) -> Peaks:
+    """From the samples of each process, in the order of their times. A count stands until the next sample, so
+    a peak is off by at most one sample of each process."""
+    return Peaks(
+        most_within(processes, lambda sample: sample.beats, SECOND_NS),
+        most_within(processes, lambda sample: sample.bytes, SECOND_NS),
+        most_within(processes, lambda sample: sample.opened, SECOND_NS),
+        most_within(processes, lambda sample: sample.opened, STEP_NS),
+    )
+
+
+def most_within(
+    processes: Sequence[Sequence[Sample]], count: Callable[[Sample], int], window_ns: int
+) -> int:
+    """The greatest growth of a count within a window."""
+    sampled = [samples for samples in processes if samples]
+    if not sampled:
+        return 0
+    first = max(samples[0].at_ns for samples in sampled)
+    last = min(samples[-1].at_ns for samples in sampled)
+    totals = [
+        sum(value_at(samples, count, at_ns) for samples in sampled)
+        for at_ns in range(first, last + 1, STEP_NS)
+    ]
+    width = window_ns // STEP_NS
+    grown = [later - earlier for earlier, later in zip(totals, totals[width:], strict=False)]
+    return max(grown, default=0)
+
+
+def value_at(samples: Sequence[Sample], count: Callable[[Sample], int], at_ns: int) -> int:
+    """The count of the last sample that is not later."""
+    index = bisect_right(samples, at_ns, key=lambda sample: sample.at_ns)
+    return count(samples[max(0, index - 1)])
--- a/measure/scale/hollow_process.py
+++ b/measure/scale/hollow_process.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Struct
 
+from lemonshunt.lease.terms import surely_held_us
 from lemonshunt.net.config import Address
 from measure.scale.hollow_member import Call, CountedChannel, HollowMember, ServiceAddresses, count_calls
 from measure.scale.memory import resident_bytes
@@ -87,6 +88,8 @@
     whole_ns: int
     list_version: int
     listed_ns: int
+    renewed_us: int
+    """When its lease in force was asked for, by the clock that leases go by; 0 without one."""
 
 
 class Report(Struct):
@@ -142,6 +145,10 @@
         member = self.members[name] = HollowMember(name, command.site, self.service, folder, command.needs)
         member.start()
 
+    def close(self) -> None:
+        for member in self.members.values():
+            member.kill()
+
     async def tick(self) -> None:
         """Each member ten times a second, a group at a time."""
         turn = 0
@@ -191,6 +198,7 @@
             acted.whole_ns if acted else 0,
             member.list_version,
             member.listed_ns,
+            renewed_us(member),
         )
 
 
@@ -199,6 +207,13 @@
     return member.fleet.holder.token is not None and member.fleet.talk.reachable
 
 
+def renewed_us(member: HollowMember) -> int:
+    holder = member.fleet.holder
+    if holder.token is None:
+        return 0
+    return holder.valid_until_us - surely_held_us(holder.ttl_us, holder.drift)
+
+
 async def serve() -> None:
     loop = asyncio.get_running_loop()
     commands = asyncio.StreamReader(limit=1 << 24)
@@ -212,6 +227,7 @@
         answer = process.carry_out(msgspec.json.decode(line, type=Command))
         sys.stdout.buffer.write(msgspec.json.encode(answer) + b"\n")
         sys.stdout.buffer.flush()
+    process.close()
 
 
 def main() -> None:
