--- a/measure/scale/service_failures.py
+++ b/measure/scale/service_failures.py
@@ -15,7 +15,7 @@
 from measure.scale.hollow_member import Call
 from measure.scale.hollow_peaks import Peaks, peaks
 from measure.scale.results import Measurement, Progress, Series
-from measure.scale.service_members import REST_S, Figures, beats_beyond_rest, look, rest
+from measure.scale.service_members import REST_S, Figures, beats_beyond_rest, look, rest_stretches
 from measure.scale.target import Role
 
 SIZES = (120, 540)
@@ -157,8 +157,7 @@
     figures = Figures()
     size = target.FORWARDERS
     with running_fleet(size) as fleet:
-        for _ in range(REPEATS):
-            rest(fleet, size, figures)
+        rest_stretches(fleet, size, figures)
         restart_members(fleet, size, target.RESTARTS_PER_DAY, figures)
     progress(f"{size} members, {target.RESTARTS_PER_DAY} of them restarted")
     yield from series_of(figures, lambda name: name.startswith("restart"))
--- a/measure/scale/service_members.py
+++ b/measure/scale/service_members.py
@@ -53,15 +53,30 @@
     return Instant(fleet.totals(), fleet.service.spent())
 
 
+def bytes_per_s(before: Instant, after: Instant, call: Call) -> float:
+    """Both ways, of all members together."""
+    more = after.totals.bytes[call] - before.totals.bytes[call]
+    return more / (after.totals.at_s - before.totals.at_s)
+
+
+def rest_stretches(fleet: HollowFleet, size: int, figures: Figures) -> None:
+    """Stretches in which nothing changes. The fleet's watches are counted over all of them together: they are
+    held for longer than one stretch, and those woken together come back together."""
+    before = look(fleet)
+    for _ in range(REPEATS):
+        rest(fleet, size, figures)
+    after = look(fleet)
+    figures.add("watch bytes", size, bytes_per_s(before, after, Call.WATCH) / len(fleet.names))
+
+
 def rest(fleet: HollowFleet, size: int, figures: Figures) -> None:
     """A stretch in which nothing changes."""
     before = look(fleet)
     time.sleep(REST_S)
     after = look(fleet)
     took_s, members = after.totals.at_s - before.totals.at_s, len(fleet.names)
-    for call in Call:
-        sent = after.totals.bytes[call] - before.totals.bytes[call]
-        figures.add(f"{call} bytes", size, sent / took_s / members)
+    for call in (Call.BEAT, Call.LIST):
+        figures.add(f"{call} bytes", size, bytes_per_s(before, after, call) / members)
     beats = after.totals.calls[Call.BEAT] - before.totals.calls[Call.BEAT]
     beat_bytes = after.totals.bytes[Call.BEAT] - before.totals.bytes[Call.BEAT]
     figures.add("beats", size, beats / took_s)
@@ -126,8 +141,7 @@
 
 def measure_size(size: int, figures: Figures) -> None:
     with running_fleet(size) as fleet:
-        for _ in range(REPEATS):
-            rest(fleet, size, figures)
+        rest_stretches(fleet, size, figures)
         for turn in range(REPEATS):
             change_needs(fleet, size, turn, figures)
         for health in ("draining", "up") * REPEATS:
@@ -193,8 +207,7 @@
     figures = Figures()
     for size in BUDGETS:
         with running_fleet(BUDGET_MEMBERS, size, wanted) as fleet:
-            for _ in range(REPEATS):
-                rest(fleet, size, figures)
+            rest_stretches(fleet, size, figures)
         progress(progress_line(figures, size))
     what = "all wanted" if wanted is None else f"{wanted} wanted"
     yield from series_of(figures, "budget", f", {BUDGET_MEMBERS} members, {what}")
