--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -5,6 +5,7 @@
 import asyncio
 import resource
 import sys
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -18,12 +19,16 @@
 from lemonshunt.lease.terms import Terms
 from lemonshunt.lease.token import Token
 from lemonshunt.member.roster import Member, Roster
-from lemonshunt.net import fleet_config
+from lemonshunt.net import discovery, fleet_config
+from lemonshunt.net.config import Address
 from lemonshunt.net.fleet_beat import body
 from lemonshunt.net.fleet_books import Books
 from lemonshunt.registry.budgets import Budgets
 from lemonshunt.registry.watch import Watchers
-from tests.test_registry_bounds import Clock, Run, play
+from measure.scale.hollow_member import Call, CountedChannel, HollowMember, ServiceAddresses
+from measure.scale.hollow_peaks import STEP_NS, peaks
+from measure.scale.hollow_process import Sample, is_alive
+from tests.test_registry_bounds import Clock, Run, play, until
 from tests.test_registry_fleet import beat, lead
 
 SECOND_US = 1_000_000
@@ -189,3 +194,41 @@
         assert len(encoded) == members
 
     play(tmp_path, run, clock, lead())
+
+
+def test_a_hollow_member_joins_by_the_forwarders_own_code_and_its_calls_are_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(discovery, "Channel", CountedChannel)
+    for counted in ("calls", "sent", "received"):
+        monkeypatch.setattr(CountedChannel, counted, Counter())
+
+    async def run(service: Run) -> None:
+        clock.us += AFTER_START_US
+        addresses = ServiceAddresses(Address("127.0.0.1", service.fleet), Address("127.0.0.1", service.list))
+        member = HollowMember("member-0", "zone-0", addresses, tmp_path, {7: 3})
+        member.start()
+        try:
+            await until(lambda: is_alive(member) and member.list_version >= 0)
+            assert service.service.fleet.roster.members["member-0"].state == "alive"
+            waiting = member.fleet.waiting()
+            assert waiting == {7: Counter({"order": 3})}
+        finally:
+            member.kill()
+        assert CountedChannel.calls[Call.BEAT] == member.fleet.counts["beats"]
+        for call in (Call.BEAT, Call.LIST):
+            assert 0 < CountedChannel.sent[call] and 0 < CountedChannel.received[call]
+
+    play(tmp_path, run, clock, lead())
+
+
+def test_peaks_are_of_all_processes_together() -> None:
+    def samples(first_ns: int, beats: list[int]) -> list[Sample]:
+        return [Sample(first_ns + number * STEP_NS, count, 0, count, 1) for number, count in enumerate(beats)]
+
+    quiet, burst = [0] * 10 + [5] * 20, [0] * 10 + [40] * 20
+    found = peaks([samples(0, quiet), samples(STEP_NS // 2, burst)])
+    assert found.beats == 45 and found.opened == 45 and found.bytes == 0
+    assert found.opened_tenth in (40, 45), "off by a sample at most"
+    assert peaks([]).beats == 0
