--- a/measure/scale/service_failures.py
+++ b/measure/scale/service_failures.py
@@ -18,7 +18,7 @@
 from measure.scale.service_members import REST_S, Figures, beats_beyond_rest, look, rest_stretches
 from measure.scale.target import Role
 
-SIZES = (120, 540)
+SIZES = (target.FORWARDERS,)
 REPEATS = 3
 RESTART_EVERY_S = 0.5
 OUTAGES_S = (0.0, 5.0)
