--- a/lemonshunt/registry/budgets.py
+++ b/lemonshunt/registry/budgets.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 from lemonshunt.budget import config, keep
+from lemonshunt.budget.aim import Aim, target
+from lemonshunt.budget.book import Book
 from lemonshunt.budget.ledger import Ledger
 from lemonshunt.budget.terms import Budget
 from lemonshunt.lease.token import Token
@@ -41,7 +43,8 @@
         self._epoch = 0
         self._now_us = 0
         self._due_us: int | None = None
-        self._last: dict[Token, tuple[Any, Any]] = {}  # what each member said last
+        # What each member said last and the ledger has. Forgotten where that may mean something else now.
+        self._last: dict[Token, tuple[Any, Any]] = {}
         self._turning = False  # budgets were put in force, and no plan by them is on disk yet
 
     # -- the start -------------------------------------------------------------------------------------
@@ -79,18 +82,21 @@
         return found
 
     def joined(self, now_us: int, name: str, token: Token, follows: Token | None) -> None:
+        self._last.pop(token, None)
         self.ledger.joined(token, name, follows, now_us)
 
     def said(self, now_us: int, name: str, token: Token, shown: Token, keeps: Mapping[str, int]) -> None:
+        self._last.pop(token, None)
         self.ledger.joined(token, name, shown, now_us, keeps)
 
     def heard(self, now_us: int, until_us: int, name: str, token: Token, beat: Mapping[str, Any]) -> Heard:
         needs = config.beat_needs(beat.get("needs", {}))
         holds = config.beat_holds(beat.get("holds", {}))
         self._now_us = now_us
-        self.ledger.beat(token, needs, holds, now_us)
         changed = self._last.get(token) != (needs, holds)
-        self._last[token] = needs, holds
+        if changed:
+            self.ledger.beat(token, needs, holds, now_us)
+            self._last[token] = needs, holds
         waits = self._turning
         if changed and not waits and needs and self.raw:
             told = self.ledger.told(token)
@@ -125,8 +131,8 @@
 
     def _due(self, now_us: int) -> int | None:
         """While something cools, opens or is missing it is looked at again; at rest only a beat stirs."""
-        spans = [book.budget.span_us for destination, told in self.ledger.state(now_us).items()
-                 if not (book := self.ledger.books[destination]).closed and _unsettled(told)]
+        spans = [book.budget.span_us for destination, book in self.ledger.books.items()
+                 if not book.closed and _unsettled(book, self.ledger.aims[destination], now_us)]
         ends = sorted(self.ledger.presumed.values())[:1]
         return min([*ends, *(now_us + min(max(span // STEPS, LEAST_US), MOST_US) for span in spans)],
                    default=None)
@@ -163,6 +169,7 @@
         budgets = config.checked(row["config"])
         self._taken(row)
         self.ledger.configure(budgets, now_us)
+        self._last.clear()  # a budget that came has not heard what was said before
         self._turning, self._due_us = True, now_us
         log.info("budgets", extra={"version": self.version, "source": self.source, "wholes": {
             b.destination: [b.calls, b.span_us // 1_000] for b in budgets}})
@@ -231,8 +238,12 @@
     return [b for b in (histories[-1] if histories else ()) if b.destination not in unsteady]
 
 
-def _unsettled(told: Mapping[str, Any]) -> bool:
-    if told["opens_in_us"] or told["cooling"] or told["scarce"]:
+def _unsettled(book: Book, aim: Aim, now_us: int) -> bool:
+    """Whether time alone may let something move. Asked after each plan for all budgets and members, so it
+    looks at the accounts and makes nothing of them."""
+    if book.opens_us > now_us or book.cooling or aim.scarce:
+        return True
+    members = book.in_force()
+    if any(account.calls() != target(aim, account) for account in members):
         return True
-    return any(m["calls"] != max(m["aim"], m["reserve"]) or (m["needs"] > m["calls"] and told["free"] > 0)
-               for m in told["members"] if m["state"] == "in")
+    return any(account.work() > account.calls() for account in members) and book.free_with({}) > 0
--- /dev/null
+++ b/tests/test_scale_hollow.py
@@ -0,0 +1,254 @@
+"""Growth of the list service with its members, by counted work: no clock is read for a verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import sys
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from lemonshunt.lease.holder import Holder
+from lemonshunt.lease.table import Grant, Table
+from lemonshunt.lease.terms import Terms
+from lemonshunt.lease.token import Token
+from lemonshunt.member.roster import Member, Roster
+from lemonshunt.net import discovery, fleet_config
+from lemonshunt.net.config import Address
+from lemonshunt.net.fleet_beat import body
+from lemonshunt.net.fleet_books import Books
+from lemonshunt.registry.budgets import Budgets
+from lemonshunt.registry.watch import Watchers
+from measure.scale.hollow_member import Call, CountedChannel, HollowMember, ServiceAddresses
+from measure.scale.hollow_peaks import STEP_NS, peaks
+from measure.scale.hollow_process import Sample, is_alive
+from tests.test_registry_bounds import Clock, Run, play, until
+from tests.test_registry_fleet import beat, lead
+
+SECOND_US = 1_000_000
+LEASE_US = 3 * SECOND_US
+AFTER_START_US = 100 * SECOND_US
+"""The longest lease of a history that nobody knows is over."""
+A_BUDGET_BYTES = 115
+"""Of a beat with its answer, for each budget there is; without any it takes the rest."""
+BARE_BEAT_BYTES = 200
+CALLS_AN_ACCOUNT = 60
+"""Function calls of a plan at rest, for each member and budget."""
+CALLS_A_BUDGET, CALLS_A_BEAT = 7, 14
+"""And of a beat as the one before it, for each budget, and for itself."""
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 20.0
+
+
+async def service_process(folder: Path, descriptors: int) -> tuple[asyncio.subprocess.Process, int]:
+    """A list service with a hard limit of descriptors, and the port of its fleet address."""
+    address = "127.0.0.1:0"
+    words = ["--state", folder / "state", "--listen", address, "--write", address, "--fleet", address,
+             "--new", "--ports", folder / "ports"]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "lemonshunt.registry", *map(str, words), cwd=ROOT,
+        stderr=asyncio.subprocess.DEVNULL,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+    async with asyncio.timeout(PATIENCE_S):
+        while not (folder / "ports").exists() or not (folder / "ports").read_text():
+            await asyncio.sleep(0.02)
+    return process, int((folder / "ports").read_text().split()[2])
+
+
+@pytest.mark.parametrize("descriptors", [96])
+def test_with_few_descriptors_whoever_finds_no_place_is_answered(tmp_path: Path, descriptors: int) -> None:
+    async def run() -> list[bytes]:
+        process, port = await service_process(tmp_path, descriptors)
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                links = [await asyncio.open_connection("127.0.0.1", port) for _ in range(descriptors)]
+                for _, writer in links:
+                    writer.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                return [await reader.readline() for reader, _ in links]
+        finally:
+            process.kill()
+            await process.wait()
+
+    told = [line.split()[1] for line in asyncio.run(run())]
+    assert set(told) == {b"200", b"503"}
+    assert told.count(b"503") < descriptors // 2
+
+
+class BudgetFleet:
+    """Members and the service's budgets without I/O, by an injected clock, until all shares rest."""
+
+    def __init__(self, members: int, budgets: int) -> None:
+        self.service, self.now_us = Budgets(LEASE_US, 0.02), 10 * SECOND_US
+        self.service.lifted(1)
+        self.service.restored(0, True, None, [])
+        raw = [{"destination": str(number), "calls": 50 * members, "span_ms": 1_000, "reserve": 1,
+                "members_max": 2 * members} for number in range(budgets)]
+        self.commit(self.service.configured(0, raw, "file"))
+        self.commit(self.service.forget(0, None))
+        self.needs = {str(number): {"order": 2} for number in range(budgets)}
+        self.members = {Token(1, number + 1): Books((), 0.02, {}, 0) for number in range(members)}
+        for token in self.members:
+            self.service.joined(0, f"member-{token.number}", token, None)
+        for _ in range(12):
+            self.turn()
+
+    def commit(self, rows: list[dict[str, Any]]) -> None:
+        for row in rows:
+            self.service.commit(self.now_us, row)
+
+    def turn(self) -> None:
+        """A beat of each member, and a plan after them."""
+        self.now_us += SECOND_US
+        for token in self.members:
+            self.beat(token)
+        self.commit(self.service.plan(self.now_us, False, []))
+
+    def beat(self, token: Token) -> int:
+        """Bytes of one beat's body and of the budgets in its answer."""
+        books, holder = self.members[token], Holder(LEASE_US, 0.02, lambda: 0.5)
+        holder.token = holder.seen = token
+        config = fleet_config.read({"service": "127.0.0.1:1", "site": "zone-0"}, f"member-{token.number}")
+        sent = body(config, "127.0.0.1:1", "0" * 16, holder.asked(self.now_us), self.needs,
+                    {"list": [1, 1], "holds": books.holds(token)})
+        heard = self.service.heard(self.now_us, self.now_us + LEASE_US, config.name, token,
+                                   msgspec.json.decode(sent))
+        told = heard.tell()
+        shares = {int(destination): share for destination, share in told["shares"].items()}
+        books.told(token, shares, self.now_us + LEASE_US, self.now_us)
+        return len(sent) + len(msgspec.json.encode(told))
+
+
+def function_calls(work: Callable[[], Any]) -> int:
+    """Python functions that are called in it."""
+    calls = 0
+
+    def count(_: Any, event: str, __: Any) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+def test_a_beat_grows_with_the_budgets_there_are_and_not_with_the_members() -> None:
+    sizes = {(members, budgets): fleet.beat(Token(1, 1))
+             for members, budgets in ((4, 1), (4, 10), (4, 100), (40, 10))
+             for fleet in [BudgetFleet(members, budgets)]}
+    for (_, budgets), size in sizes.items():
+        assert size <= BARE_BEAT_BYTES + A_BUDGET_BYTES * budgets
+    assert abs(sizes[40, 10] - sizes[4, 10]) <= 10 * 4, "digits of numbers, no more"
+
+
+def test_a_plan_at_rest_looks_at_each_account_and_reports_nothing() -> None:
+    for members, budgets in ((10, 3), (40, 3), (10, 30)):
+        fleet = BudgetFleet(members, budgets)
+        calls = function_calls(partial(fleet.service.plan, fleet.now_us + 1, False, []))
+        assert calls <= CALLS_AN_ACCOUNT * members * budgets
+
+
+def test_a_beat_that_says_nothing_new_does_not_go_through_the_budgets_again() -> None:
+    for budgets in (10, 100):
+        fleet = BudgetFleet(4, budgets)
+        token = Token(1, 1)
+        said = {"needs": fleet.needs, "holds": fleet.members[token].holds(token)}
+        hear = partial(fleet.service.heard, fleet.now_us, fleet.now_us + LEASE_US, "member-1", token)
+        assert not hear(said).plan
+        again = function_calls(partial(hear, said))
+        assert again <= CALLS_A_BUDGET * budgets + CALLS_A_BEAT, again
+        raw = [*fleet.service.raw, {**fleet.service.raw[0], "destination": "new"}]
+        fleet.commit(fleet.service.configured(fleet.now_us, raw, "file"))
+        assert hear({**said, "needs": {**fleet.needs, "new": 5}}).plan
+        fleet.commit(fleet.service.configured(fleet.now_us, fleet.service.raw[:-1], "file"))
+        fleet.commit(fleet.service.configured(fleet.now_us, raw, "file"))
+        assert hear({**said, "needs": {**fleet.needs, "new": 5}}).plan, "the budget that came back hears it"
+        assert fleet.service.ledger.books["new"].accounts[token].work() == 5
+
+
+def test_one_change_tells_one_entry_to_one_watcher_at_any_size() -> None:
+    for members in (10, 300):
+        table = Table(Terms())
+        roster = Roster(table, LEASE_US)
+        table.commit(table.start(0, True))
+        roster.started(0)
+        for number in range(members):
+            made = roster.join(AFTER_START_US, f"member-{number}", "zone-0", "h:1", f"run-{number}")
+            assert isinstance(made, Grant) and made.record is not None
+            roster.commit(made.record)
+        before, epoch = roster.version, roster.epoch
+        roster.commit(roster.leave(AFTER_START_US, "member-7", roster.members["member-7"].token))
+        whole, told = roster.owed_members(before, epoch)
+        assert not whole and [member.name for member in told] == ["member-7"]
+        assert roster.owed_members(roster.version, epoch) == (False, [])
+        watchers = Watchers()
+        watchers.began(1)
+        watchers.changed({"member-7"})
+        names = [f"member-{number}" for number in range(members)]
+        assert [name for name in names if watchers.behind(1, name)] == ["member-7"]
+        assert watchers.behind(1), "one that names no member is woken by every change"
+
+
+def test_members_that_join_are_told_of_all_but_each_is_encoded_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock, members, encoded = Clock(), 30, list[str]()
+    told_of = Member.told
+    monkeypatch.setattr(Member, "told", lambda member: encoded.append(member.name) or told_of(member))
+
+    async def run(service: Run) -> None:
+        clock.us += AFTER_START_US
+        for number in range(members):
+            status, told = await beat(service, f"member-{number}")
+            assert status == 200 and told["whole"]
+            assert [member["name"] for member in told["members"]] == sorted(
+                f"member-{known}" for known in range(number + 1))
+        assert len(encoded) == members
+
+    play(tmp_path, run, clock, lead())
+
+
+def test_a_hollow_member_joins_by_the_forwarders_own_code_and_its_calls_are_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock()
+    monkeypatch.setattr(discovery, "Channel", CountedChannel)
+    for counted in ("calls", "sent", "received"):
+        monkeypatch.setattr(CountedChannel, counted, Counter())
+
+    async def run(service: Run) -> None:
+        clock.us += AFTER_START_US
+        addresses = ServiceAddresses(Address("127.0.0.1", service.fleet), Address("127.0.0.1", service.list))
+        member = HollowMember("member-0", "zone-0", addresses, tmp_path, {7: 3})
+        member.start()
+        try:
+            await until(lambda: is_alive(member) and member.list_version >= 0)
+            assert service.service.fleet.roster.members["member-0"].state == "alive"
+            waiting = member.fleet.waiting()
+            assert waiting == {7: Counter({"order": 3})}
+        finally:
+            member.kill()
+        assert CountedChannel.calls[Call.BEAT] == member.fleet.counts["beats"]
+        for call in (Call.BEAT, Call.LIST):
+            assert 0 < CountedChannel.sent[call] and 0 < CountedChannel.received[call]
+
+    play(tmp_path, run, clock, lead())
+
+
+def test_peaks_are_of_all_processes_together() -> None:
+    def samples(first_ns: int, beats: list[int]) -> list[Sample]:
+        return [Sample(first_ns + number * STEP_NS, count, 0, count, 1) for number, count in enumerate(beats)]
+
+    quiet, burst = [0] * 10 + [5] * 20, [0] * 10 + [40] * 20
+    found = peaks([samples(0, quiet), samples(STEP_NS // 2, burst)])
+    assert found.beats == 45 and found.opened == 45 and found.bytes == 0
+    assert found.opened_tenth in (40, 45), "off by a sample at most"
+    assert peaks([]).beats == 0
