Take in the control's runs, and expect a size's time without what every size takes alike

Cause: a measurement with 15 s of its own at each size was stopped at its first size, and a need 4,400 times past it was made of that. The memory of another process can be asked for again, as the fleet's measurement does.

--- a/measure/scale/growth.py
+++ b/measure/scale/growth.py
@@ -40,6 +40,13 @@
         return tuple(self.points[name])
 
 
+def expected_s(took: float, took_before: float, factor: float) -> float:
+    """How long the next size may take: what each size takes alike is not multiplied."""
+    if not took_before:
+        return took
+    return took + max(0.0, took - took_before) * factor
+
+
 def grow(
     sizes: Iterable[int],
     once: Callable[[int], Mapping[str, float]],
@@ -51,10 +58,10 @@
     """Measure each size `repeats` times. `once` tells values by name; `memory` tells from these how many
     bytes the run took, where that can come near the bound."""
     growth = Growth()
-    before, took, used = 0, 0.0, 0.0
+    before, took, took_before, used = 0, 0.0, 0.0, 0.0
     for size in sizes:
         factor = size / before if before else 1.0
-        if took * factor > point_s:
+        if expected_s(took, took_before, factor) > point_s:
             growth.bound = f"time: size {size:,} is expected to take over {point_s:g} s"
             break
         if used * factor > MEMORY_SHARE * memory_bytes():
@@ -62,7 +69,7 @@
             break
         began = time.perf_counter()
         runs = [once(size) for _ in range(repeats)]
-        before, took = size, time.perf_counter() - began
+        before, took_before, took = size, took, time.perf_counter() - began
         used = max(map(memory, runs)) if memory else 0.0
         for name in runs[0]:
             point = Point(size, tuple(run[name] for run in runs))
--- a/measure/scale/memory.py
+++ b/measure/scale/memory.py
@@ -9,9 +9,9 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-def resident_bytes() -> int:
-    """What is in memory now."""
-    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_BYTES
+def resident_bytes(process: str = "self") -> int:
+    """What a process has in memory now; of this one where none is named."""
+    return int(Path(f"/proc/{process}/statm").read_text().split()[1]) * PAGE_BYTES
 
 
 def peak_bytes() -> int:
--- a/measure/scale/needs_control.py
+++ b/measure/scale/needs_control.py
@@ -9,6 +9,8 @@
 BEATS_PER_S = 1 / target.MEMBERS_BEAT_S
 FLEET = float(target.FORWARDERS)
 ENDPOINTS = float(target.DESTINATIONS)
+REAL_FORWARDERS = 20.0
+"""Real forwarders that run beside hollow members; each one's need is not of their number."""
 DAY_S = 86_400.0
 BUDGETS = float(target.DESTINATIONS)
 CORE, BYTES, WIRE = target.CONTROL_CORE_SHARE, target.CONTROL_BYTES, target.CONTROL_BYTES_PER_S
@@ -311,4 +313,26 @@
         MISSING,
         MS,
     ),
+    Need(
+        Role.LIST_SERVICE,
+        Kind.PROCESSOR,
+        "at rest, 60 members that each name a budget for each destination",
+        ("list service: part of a core at rest, 60 members, all wanted",),
+        BUDGETS,
+        target.SERVICE_CORES,
+        Source.ASSUMED,
+        "core",
+        MISSING,
+    ),
+    Need(
+        Role.CONTROL_PART,
+        Kind.PROCESSOR,
+        "a whole real forwarder without messages, three budgets",
+        ("real forwarder, member: part of a core at rest",),
+        REAL_FORWARDERS,
+        CORE,
+        Source.STATED,
+        "core",
+        "beats",
+    ),
 )
--- a/measure/scale/page.py
+++ b/measure/scale/page.py
@@ -16,7 +16,7 @@
 from measure.scale.fit import Span, fit
 from measure.scale.needs import MESSAGE_NEEDS, Answer, Kind, Need, Use, answer
 from measure.scale.needs_control import CONTROL_NEEDS
-from measure.scale.results import Entry, find
+from measure.scale.results import Entry, Found, find
 from measure.scale.target import Role
 
 PAGE = results.ROOT / "docs" / "CAPACITY.md"
@@ -35,8 +35,12 @@
 
 
 def quantity(value: float, unit: str) -> str:
+    """A figure with its unit; bytes in their short form, as in 5 MB/s."""
     text = number(value)
-    return f"{text}{'B' + unit[4:] if unit.startswith('byte') else ' ' + unit}".replace("  ", " ")
+    if not unit.startswith("byte"):
+        return f"{text} {unit}"
+    short = "B" + unit.removeprefix("byte")
+    return text + short if text[-1].isalpha() else f"{text} {short}"
 
 
 def spread(span: Span) -> str:
@@ -142,12 +146,18 @@
     return f"{number(per_s)}/s, {per_s * message_us / 1e6:.3g} core"
 
 
+def control_figure(label: str, found: Found | None) -> str:
+    """A figure of control at the target's forwarders, or where it was measured if that is fewer."""
+    if found is None:
+        return f"{label}: {NOT_MEASURED}"
+    size = min(float(target.FORWARDERS), found.series.range[1])
+    where = "" if size == target.FORWARDERS else f" (with {number(size)})"
+    return f"{label}: {number(fit(found.series).at(size).middle)}{where}"
+
+
 def control_text(failure: Failure, entries: dict[str, Entry]) -> str:
-    parts = []
-    for label, found in control_figures(failure, entries):
-        value = NOT_MEASURED if found is None else number(fit(found.series).at(target.FORWARDERS).middle)
-        parts.append(f"{label}: {value}")
-    return "; ".join(parts) or NOT_MEASURED
+    figures = control_figures(failure, entries)
+    return "; ".join(control_figure(label, found) for label, found in figures) or NOT_MEASURED
 
 
 def failures_table(entries: dict[str, Entry]) -> str:
--- a/tests/test_scale_frame.py
+++ b/tests/test_scale_frame.py
@@ -8,7 +8,7 @@
 from measure.scale import page, results
 from measure.scale.__main__ import discover, main
 from measure.scale.fit import Shape, fit
-from measure.scale.growth import grow, sizes_by
+from measure.scale.growth import expected_s, grow, sizes_by
 from measure.scale.needs import Kind, Need, Source, answer
 from measure.scale.results import Entry, Origin, Point, Series
 from measure.scale.target import Role
@@ -54,6 +54,7 @@
     assert whole.bound == "largest size wanted" and len(told) == 3
     held = grow((1, 2, 3), lambda n: {"bytes": 1e15}, told.append, repeats=1, memory=lambda run: run["bytes"])
     assert len(held.of("bytes")) == 1 and held.bound.startswith("memory: size 2")
+    assert expected_s(15.5, 15.0, 10.0) == pytest.approx(20.5)  # what every size takes does not grow
     late = grow((1, 2), lambda n: {"one": 1.0}, told.append, repeats=1, point_s=0.0)
     assert late.bound.startswith("time: size 2")
 
