--- a/lemonshunt/registry/budgets.py
+++ b/lemonshunt/registry/budgets.py
@@ -199,7 +199,7 @@
     # -- what is told of it ----------------------------------------------------------------------------
 
     def snapshot(self) -> Row:
-        opening = [d for d, told in self.ledger.state(self._now_us).items() if told["opens_in_us"]]
+        opening = [d for d, book in sorted(self.ledger.books.items()) if book.opens_us > self._now_us]
         return {"config": self.raw, "version": self.version, "source": self.source, "file": self.file,
                 "opening": opening, "ledger": keep.snapshot(self.ledger)}
 
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -40,6 +40,8 @@
 BARE_BEAT_BYTES = 200
 CALLS_AN_ACCOUNT = 60
 """Function calls of a plan at rest, for each member and budget."""
+CALLS_A_SNAPSHOT = 9
+"""And of a snapshot of all budgets."""
 CALLS_A_BUDGET, CALLS_A_BEAT = 7, 14
 """And of a beat as the one before it, for each budget, and for itself."""
 ROOT = Path(__file__).resolve().parent.parent
@@ -154,6 +156,7 @@
         fleet = BudgetFleet(members, budgets)
         calls = function_calls(partial(fleet.service.plan, fleet.now_us + 1, False, []))
         assert calls <= CALLS_AN_ACCOUNT * members * budgets
+        assert function_calls(fleet.service.snapshot) <= CALLS_A_SNAPSHOT * members * budgets
 
 
 def test_a_beat_that_says_nothing_new_does_not_go_through_the_budgets_again() -> None:
