Wake every watcher of the fleet when budgets are put in force

A watcher that names its member was woken by its own grants alone. A configuration that changes a span, or the whole of who keeps the same share, so came to it with its next beat only, up to a third of a lease later; a watcher without a name was woken at once. Forwarders name none today, and would have lost this by naming themselves.

Result: not timed, since no forwarder names itself yet. Red without it: test_a_new_configuration_of_budgets_concerns_every_member_and_a_share_its_own, "assert [set()] == [None]".

--- a/lemonshunt/registry/budgets.py
+++ b/lemonshunt/registry/budgets.py
@@ -178,7 +178,8 @@
         """The ledger plans it again as it is: a write that failed may have reached the disk."""
 
     def concerns(self, row: Row) -> Collection[str] | None:
-        return {grant[1] for grant in row.get("grants", ())}
+        """A new configuration concerns all, also who gets no other share: whole and span may be others."""
+        return None if "config" in row else {grant[1] for grant in row["grants"]}
 
     def _taken(self, row: Row) -> None:
         self.raw, self.version, self.source = row["config"], int(row["version"]), str(row["source"])
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -177,6 +177,15 @@
         assert fleet.service.ledger.books["new"].accounts[token].work() == 5
 
 
+def test_a_new_configuration_of_budgets_concerns_every_member_and_a_share_its_own() -> None:
+    service = BudgetFleet(4, 1).service
+    longer = [{**service.raw[0], "span_ms": 2_000}]
+    rows = service.configured(0, longer, "file")
+    assert [service.concerns(row) for row in rows] == [None]
+    grant = ["0", "member-1", [1, 1], 9, 5, 1]
+    assert service.concerns({"budgets": 9, "grants": [grant], "ends": []}) == {"member-1"}
+
+
 def test_one_change_tells_one_entry_to_one_watcher_at_any_size() -> None:
     for members in (10, 300):
         table = Table(Terms())
