--- a/measure/scale/needs_control.py
+++ b/measure/scale/needs_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from measure.scale import target
 from measure.scale.needs import MISSING, MS, Kind, Need, Source
 from measure.scale.target import Role
@@ -15,6 +17,21 @@
 BUDGETS = float(target.DESTINATIONS)
 CORE, BYTES, WIRE = target.CONTROL_CORE_SHARE, target.CONTROL_BYTES, target.CONTROL_BYTES_PER_S
 
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A share that has to be 1 at every size: of less, something is lost and not merely slow."""
+
+    what: str
+    series: str
+
+
+WHOLES = (
+    Whole("endpoints of the list that a forwarder may call", "list_reachable"),
+    Whole("endpoints of the list that a restart reads from the journal", "list_recovered"),
+    Whole("whole lists that arrive at a forwarder's client", "list_arrives"),
+)
+
 CONTROL_NEEDS = (
     # Leases and members
     Need(
--- a/measure/scale/page.py
+++ b/measure/scale/page.py
@@ -15,7 +15,7 @@
 from measure.scale.failures import FAILURES, Failure, control_figures, held_messages, lost_per_s, others_per_s
 from measure.scale.fit import Span, fit
 from measure.scale.needs import MESSAGE_NEEDS, Answer, Kind, Need, Use, answer
-from measure.scale.needs_control import CONTROL_NEEDS
+from measure.scale.needs_control import CONTROL_NEEDS, WHOLES
 from measure.scale.results import Entry, Found, find
 from measure.scale.target import Role
 
@@ -136,6 +136,23 @@
     return table(("series", "slope (spread over repeats), shape", "range, repeats", "bound", "run"), rows)
 
 
+def whole_table(entries: dict[str, Entry]) -> str:
+    """Shares that have to be 1: the largest size measured where they are, and what they are at the target."""
+    rows = []
+    for whole in WHOLES:
+        found = find(entries, whole.series)
+        if found is None:
+            rows.append((whole.what, NOT_MEASURED, "-", "-"))
+            continue
+        points = sorted(found.series.points, key=lambda point: point.size)
+        sound = [point.size for point in points if min(point.values) >= 1]
+        at_target = next((point for point in points if point.size == target.DESTINATIONS), None)
+        share = NOT_MEASURED if at_target is None else f"{at_target.median:.2%}"
+        run = f"`{found.origin.command}` at {found.origin.commit}"
+        rows.append((whole.what, f"{max(sound, default=0.0):,.0f}", share, run))
+    return table(("share of endpoints or lists", "whole up to", "at the target's endpoints", "run"), rows)
+
+
 def others_cores(failure: Failure, entries: dict[str, Entry]) -> str:
     """What each other forwarder's core then does with messages."""
     found = find(entries, RATE_SERIES)
@@ -186,6 +203,7 @@
 TABLES: dict[str, Callable[[dict[str, Entry]], str]] = {
     "first": first_table,
     "roles": roles_table,
+    "whole": whole_table,
     "failures": failures_table,
     "slopes": slopes_table,
 }
