--- a/tests/test_scale_frame.py
+++ b/tests/test_scale_frame.py
@@ -8,7 +8,7 @@
 from measure.scale import page, results
 from measure.scale.__main__ import discover, main
 from measure.scale.fit import Shape, fit
-from measure.scale.growth import grow, sizes_by
+from measure.scale.growth import expected_s, grow, sizes_by
 from measure.scale.needs import Kind, Need, Source, answer
 from measure.scale.results import Entry, Origin, Point, Series
 from measure.scale.target import Role
@@ -54,6 +54,7 @@
     assert whole.bound == "largest size wanted" and len(told) == 3
     held = grow((1, 2, 3), lambda n: {"bytes": 1e15}, told.append, repeats=1, memory=lambda run: run["bytes"])
     assert len(held.of("bytes")) == 1 and held.bound.startswith("memory: size 2")
+    assert expected_s(15.5, 15.0, 10.0) == pytest.approx(20.5)  # what every size takes does not grow
     late = grow((1, 2), lambda n: {"one": 1.0}, told.append, repeats=1, point_s=0.0)
     assert late.bound.startswith("time: size 2")
 
@@ -97,3 +98,9 @@
 def test_a_shape_that_is_not_plain_is_read_between_its_points() -> None:
     steps = dict(zip(SIZES, (1.0, 50.0, 55.0, 4_000.0), strict=True))
     assert fit(series(steps.__getitem__)).at(5_500).middle == pytest.approx(52.5)
+
+
+def test_what_falls_is_not_taken_to_fall_on() -> None:
+    falling = dict(zip(SIZES, (9.0, 8.0, 4.0, 2.0), strict=True))
+    found = fit(series(falling.__getitem__))
+    assert found.shape is None and found.at(10_000_000).middle == pytest.approx(2.0)
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -40,6 +40,8 @@
 BARE_BEAT_BYTES = 200
 CALLS_AN_ACCOUNT = 60
 """Function calls of a plan at rest, for each member and budget."""
+CALLS_A_SNAPSHOT = 9
+"""And of a snapshot of all budgets."""
 CALLS_A_BUDGET, CALLS_A_BEAT = 7, 14
 """And of a beat as the one before it, for each budget, and for itself."""
 ROOT = Path(__file__).resolve().parent.parent
@@ -154,6 +156,7 @@
         fleet = BudgetFleet(members, budgets)
         calls = function_calls(partial(fleet.service.plan, fleet.now_us + 1, False, []))
         assert calls <= CALLS_AN_ACCOUNT * members * budgets
+        assert function_calls(fleet.service.snapshot) <= CALLS_A_SNAPSHOT * members * budgets
 
 
 def test_a_beat_that_says_nothing_new_does_not_go_through_the_budgets_again() -> None:
@@ -174,6 +177,15 @@
         assert fleet.service.ledger.books["new"].accounts[token].work() == 5
 
 
+def test_a_new_configuration_of_budgets_concerns_every_member_and_a_share_its_own() -> None:
+    service = BudgetFleet(4, 1).service
+    longer = [{**service.raw[0], "span_ms": 2_000}]
+    rows = service.configured(0, longer, "file")
+    assert [service.concerns(row) for row in rows] == [None]
+    grant = ["0", "member-1", [1, 1], 9, 5, 1]
+    assert service.concerns({"budgets": 9, "grants": [grant], "ends": []}) == {"member-1"}
+
+
 def test_one_change_tells_one_entry_to_one_watcher_at_any_size() -> None:
     for members in (10, 300):
         table = Table(Terms())
