Refuse new messages past the memory for held ones, and name the bound that is full

Need: held messages were bounded by number and disk alone; with the backlogs that are coming the memory is met first, and the process would be killed with all it holds. The log did not say which bound was full.

--- a/lemonshunt/net/taking.py
+++ b/lemonshunt/net/taking.py
@@ -8,6 +8,7 @@
 from lemonshunt import interface as i
 from lemonshunt.net.config import HostList
 from lemonshunt.net.desk import AWAY_S, FULL_LOG_US, SECOND, Desk, log, trace
+from lemonshunt.net.room import Bound, memory_left
 from lemonshunt.net.server import Asker, Handed
 
 
@@ -27,12 +28,12 @@
             self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=AWAY_S)
             return
-        held = len(self.store.messages) + len(self.arriving)
-        size = len(handed.body) + sum(len(h.body) for h, _ in self.arriving.values())
-        if self.frozen or held >= self.config.settings.max_open or not self.store.has_room(size):
-            if self.clock() - self.full_us > FULL_LOG_US and not self.frozen:
+        bound = self.bound_met(handed)
+        if self.frozen or bound is not None:
+            if bound is not None and self.clock() - self.full_us > FULL_LOG_US and not self.frozen:
                 self.full_us = self.clock()
-                log.warning("full: %d messages held; new ones are turned away", held)
+                log.warning("full: %d messages held; new ones are turned away by %s",
+                            len(self.store.messages) + len(self.arriving), bound.value)
             self.counts["turned away full"] += 1
             self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "full", Retry_After=AWAY_S)
@@ -52,6 +53,16 @@
         if trace.isEnabledFor(logging.INFO):
             trace.info("arrived", extra={"message_id": handed.id, "cls": handed.class_name})
 
+    def bound_met(self, handed: Handed) -> Bound | None:
+        """The bound that one more message would pass, if any. What was taken on stays whatever is full."""
+        held = len(self.store.messages) + len(self.arriving)
+        size = len(handed.body) + sum(len(other.body) for other, _ in self.arriving.values())
+        if held >= self.config.settings.max_open:
+            return Bound.MESSAGES
+        if not memory_left(self.config.memory_mb, held + 1, self.store.live + size):
+            return Bound.MEMORY
+        return None if self.store.has_room(size) else Bound.DISK
+
     def recall_line(self, key: str) -> None:
         """What was taken on before goes before what comes now."""
         for name in [name for name, event in self.backlog.items() if event.key == key]:
