--- a/tests/reference/books.py
+++ b/tests/reference/books.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from lemonshunt import interface as i
-from tests.reference.shares import Share
+from lemonshunt.choice.shares import Share
 from tests.reference.state import Agenda, Attempt, Call, Held, Line, Message, Place, Target
 
 SECOND = 1_000_000  # us
--- a/tests/reference/dispatcher.py
+++ b/tests/reference/dispatcher.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from lemonshunt import interface as i
-from tests.reference import giving, health, learning, memory, order, routes, shares
+from lemonshunt.choice import shares
+from tests.reference import giving, health, learning, memory, order, routes
 from tests.reference.books import Books
 from tests.reference.state import Target
 
