Part the riders' members and operator from the tests that use them

Change: the service on a clock by hand, its members, the world and the operator moved as they are to tests/riders.py.

--- a/tests/test_registry_riders.py
+++ b/tests/test_registry_riders.py
@@ -1,249 +1,25 @@
-"""Budgets and the shard map on the real service: members that lose answers, are cut off, die and come back,
-a service that is killed, restored and loses its folder, and operators. What may be done at any moment is
-counted here anew, from the answers that arrived and from the clocks."""
+"""Budgets and the shard map on the real service that is killed, restored, loses its folder; and operators."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
-import random
 import shutil
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from lemonshunt.budget.terms import window
-from lemonshunt.lease.terms import Terms
-from lemonshunt.lease.token import NEVER, Token
+from lemonshunt.lease.token import NEVER
 from lemonshunt.registry import __main__ as command
 from lemonshunt.registry import fleet, planner, plans, watch
-from lemonshunt.registry.bounds import Bounds
 from lemonshunt.registry.disk import lines
-from lemonshunt.registry.parts import lead
 from lemonshunt.registry.watch import Watchers
 from lemonshunt.shard.auto import AutoPlanner, Pauses
-from lemonshunt.shard.maps import Range, ShardMap, hexed, span_from, span_text
-from lemonshunt.shard.moves import Hold
-from lemonshunt.shard.owned import Owned
+from lemonshunt.shard.maps import Range, ShardMap, hexed
 from lemonshunt.shard.spans import union
-from tests.test_registry_bounds import Clock, Run, told, until
-
-TTL, DRIFT, SPAN, SLACK = 1_000_000, 0.02, 400_000, 5_000
-TOP = (1 << 64) - 1
-RUNS = itertools.count()
-BUDGET = {"destination": "7", "calls": 100, "span_ms": SPAN // 1_000, "reserve": 5, "members_max": 4,
-          "pause_ms": 100}
-
-
-class Whole(Run):
-    """A service with all its parts on a clock by hand."""
-
-    async def up(self, **more: Any) -> Whole:
-        if not self.had:
-            await self.service.begin()
-        self.parts: Any = await lead(self.service, Terms(DRIFT, 1_000, TTL), TTL, **more)
-        self.write = await self.parts.listen_write("127.0.0.1", 0)
-        self.fleet = await self.parts.listen_fleet("127.0.0.1", 0)
-        return self
-
-    async def call(self, method: str, path: str, body: Any = None, match: Any = "",
-                   port: int = 0) -> tuple[int, Any]:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.write)
-        data = b"" if body is None else json.dumps(body).encode()
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: r\r\nIf-Match: {match}\r\n"
-                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
-        try:
-            status, _, answer = await told(reader)
-        finally:
-            writer.close()
-        return status, answer
-
-    async def settle(self) -> None:
-        """Let all that is due by the clock be planned and written."""
-        for _ in range(2):
-            self.parts.fleet.plans.soon(0)
-            await asyncio.wait({self.parts.fleet.plans.next()}, timeout=0.6)
-
-
-class Process:
-    """A member as the pages say it behaves: it sends all that it may, and acts on all keys that it may."""
-
-    def __init__(self, name: str, rate: float, clock: Clock, before: Process | None = None) -> None:
-        self.name, self.rate, self.clock = name, rate, clock
-        self.run = f"{name}-{next(RUNS)}"
-        self.token, self.shown = NEVER, before.known() if before else NEVER
-        self.seen = before.seen if before else NEVER  # its folder keeps it
-        self.share: dict[str, Any] = {"calls": 0, "number": 0,
-                                      "reserve": before.share["reserve"] if before else 0}
-        self.until = 0
-        self.idle = self.own() + window(SPAN, SLACK, DRIFT)  # what was sent before it is not known
-        self.sent: list[tuple[int, int, int]] = []
-        self.owned: Any = Owned(name)
-        self.need = 0
-
-    def own(self) -> int:
-        return int(self.clock.us * self.rate)
-
-    def known(self) -> Token:
-        return self.token if self.token != NEVER else self.shown
-
-    def most(self) -> int:
-        """Calls in a span that it may act on at this moment, or could if it were running."""
-        return int(self.share["calls"] if self.own() < self.until else self.share["reserve"])
-
-    def send(self) -> None:
-        now, span = self.own(), window(SPAN, SLACK, DRIFT)
-        count = self.most() - sum(n for _, at, n in self.sent if at > now - span)
-        if now >= self.idle and count > 0:
-            self.sent.append((self.clock.us, now, count))
-
-    def body(self) -> dict[str, Any]:
-        word = self.owned.word()
-        joins = self.token == NEVER
-        return {"name": self.name, "site": "a", "dial": "h:1", "run": self.run, "sent": word.sent,
-                "token": None if joins else self.token.told(), "seen": self.seen.told(),
-                **({"shown": self.shown.told(), "keeps": {"7": self.share["reserve"]}}
-                   if joins and self.shown != NEVER else {}),
-                "needs": {"7": self.need}, "map": word.generation, "digest": hexed(word.digest),
-                "gave": [span_text(*span) for span in word.gave],
-                "holds": {"7": [self.share["calls"], self.share["number"]]} if self.share["number"] else {}}
-
-    async def beat(self, run: Whole, lost: bool = False, drain: bool = True) -> int:
-        if drain:
-            self.owned.drained(self.owned.frozen())
-        asked, body = self.own(), self.body()
-        status, answer = await run.call("POST", "/v1/fleet/beat", body, port=run.fleet)
-        if not lost:
-            self.heard(status, answer, asked, body["sent"])
-        return status
-
-    def heard(self, status: int, answer: Any, asked: int, sent: int) -> None:
-        if status == 409 and answer["error"] == "lost" and self.token != NEVER:
-            self.shown, self.token, self.until = self.token, NEVER, 0
-            self.share = {**self.share, "number": 0}
-            self.owned.lost()
-        assert status in (200, 507) or (status == 409 and answer["error"] in ("lost", "held")), answer
-        if status != 200:
-            return
-        token, until_own = Token.of(answer["token"]), asked + int(answer["ttl_ms"] * 1_000 * (1 - DRIFT))
-        if token != self.token:
-            self.token = token
-            self.run += "+"
-            self.owned.joined(token, until_own)
-        self.seen = max(self.seen, token, Token(answer["list"][0], 0),
-                        *(Token.of(r["token"]) for r in answer["ranges"]))
-        if "7" in answer["shares"]:
-            assert answer["shares"]["7"]["number"] >= self.share["number"]
-            self.share, self.until = answer["shares"]["7"], until_own
-        if "shards" in answer:
-            assert not self.owned.adopt(answer["shards"])
-        self.owned.answered(token, sent, answer["map"], [
-            Hold(*span_from(r["keys"]), Token.of(r["token"]), r["begun"])
-            for r in answer["ranges"]], until_own)
-
-
-class World:
-    """Processes and a service, moved by a seed; every step is checked."""
-
-    def __init__(self, folder: Path, seed: int) -> None:
-        self.rng, self.folder, self.clock = random.Random(seed), folder, Clock()
-        self.wholes = [100]  # in force since what a larger one granted had surely run out
-        self.all: list[Process] = []  # that may run, cut off or not
-        self.here: list[Process] = []  # those that beat
-        self.gone: list[tuple[int, int, int]] = []  # what ended processes sent
-        self.fence: set[tuple[int, int, Token]] = set()  # what a resource that is guarded by key has seen
-
-    async def start(self) -> None:
-        self.run = await Whole(self.folder, Bounds(), self.clock).up()
-
-    async def stop(self, kill: bool) -> None:
-        self.run.files.failing = kill  # what waits is not written then
-        await self.run.service.stop()
-
-    def add(self, name: str, before: Process | None = None) -> None:
-        process = Process(name, self.rng.choice((0.991, 1.009)), self.clock, before)
-        if before is not None:
-            self.all.remove(before)
-            self.gone += before.sent
-        self.all.append(process)
-        self.here = [p for p in self.here if p is not before] + [process]
-
-    def check(self) -> None:
-        now = self.clock.us
-        for process in self.all:
-            process.send()
-        seats = sum(p.share["reserve"] > 0 for p in self.all)
-        sum_ = sum(p.most() for p in self.all) + max(0, 4 - seats) * 5
-        assert sum_ <= max(self.wholes), (now, sum_)
-        spent = [*self.gone, *(s for p in self.all for s in p.sent)]
-        assert sum(n for at, _, n in spent if at > now - SPAN) <= max(self.wholes), now
-        acting = [(*own.span, own.hold.token) for p in self.all for own in p.owned.holding(p.own())]
-        assert not any(a <= last and first <= b for n, (a, b, _) in enumerate(acting)
-                       for first, last, _ in acting[:n]), (now, acting)
-        assert not any(a <= last and first <= b and token < other for a, b, token in acting
-                       for first, last, other in self.fence), (now, acting)
-        self.fence.update(acting)
-
-    def raw_map(self, generation: int, owners: list[str]) -> dict[str, Any]:
-        cuts = [0, *sorted(self.rng.randrange(1, TOP) for _ in owners[1:])]
-        return {"generation": generation, "ranges": [
-            {"from": hexed(first), "to": hexed(last - 1), "owner": owner}
-            for first, last, owner in zip(cuts, [*cuts[1:], TOP + 1], owners, strict=True)]}
-
-    async def operate(self) -> None:
-        if self.rng.random() < 0.2:
-            calls = self.rng.choice((80, 100))
-            status, _ = await self.run.call("PUT", "/v1/budgets", {"budgets": [{**BUDGET, "calls": calls}]})
-            if status == 200:
-                self.wholes.append(calls)
-        else:
-            first = self.rng.randrange(16) << 60
-            status, answer = await self.run.call("POST", "/v1/map/move", {
-                "from": hexed(first), "to": hexed(min(first + (self.rng.randrange(1, 5) << 60), TOP)),
-                "owner": self.rng.choice(self.here).name})
-            assert status in (200, 404, 507) or {fault.split()[0] for fault in answer["faults"]} <= {
-                "moves-too-much", "unknown-owner"}, answer
-
-    async def step(self) -> None:
-        rng, run = self.rng, self.run
-        self.clock.us += rng.choice((0, 20_000, 80_000, 150_000))
-        self.check()
-        dice = rng.random()
-        if dice < 0.04:
-            self.add((old := rng.choice(self.here)).name, old)  # restarted, with its folder
-        elif dice < 0.07 and len(self.here) > 2:
-            cut = self.here.pop(rng.randrange(len(self.here)))  # cut off, and goes on by what it has
-            self.add(cut.name)  # and another process of its name is started without its folder
-        elif dice < 0.17:
-            await self.operate()
-        elif dice < 0.21:
-            run.files.failing = True
-        elif dice < 0.24 or run.files.failing and dice < 0.5:
-            if run.files.failing and dice < 0.37:
-                run.files.failing = False
-            else:
-                await self.stop(kill=rng.random() < 0.7)
-                await self.start()
-        else:
-            for process in rng.sample(self.here, rng.randrange(1, len(self.here) + 1)):
-                process.need = rng.choice((0, 5, 40, 200)) if rng.random() < 0.3 else process.need
-                await process.beat(run, lost=rng.random() < 0.1, drain=rng.random() < 0.8)
-                self.check()
-        await self.run.settle()
-
-    async def calm(self, steps: int) -> None:
-        """All that beat want more than there is; nothing else happens."""
-        self.run.files.failing = False
-        for _ in range(steps):
-            self.clock.us += 100_000
-            self.check()
-            for process in self.here:
-                process.need = 200
-                await process.beat(self.run)
-                self.check()
-            await self.run.settle()
+from tests.riders import BUDGET, TOP, Play, Process, World
+from tests.test_registry_bounds import until
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -293,41 +69,6 @@
     asyncio.run(walk())
 
 
-class Play:
-    """A service and processes by hand, past the waits of a start."""
-
-    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(plans, "PLAN_S", 0.002)
-        monkeypatch.setattr(plans, "RETRY_S", 0.02)
-        self.world = World(folder, 0)
-
-    async def up(self, *names: str, **more: Any) -> list[Process]:
-        world = self.world
-        self.run = world.run = await Whole(world.folder, Bounds(), world.clock).up(**more)
-        for name in names:
-            world.add(name)
-        return world.here
-
-    async def calm(self, steps: int = 15, **needs: int) -> None:
-        """So many tenths of a second, with a beat of each in every one."""
-        for _ in range(steps):
-            self.world.clock.us += 100_000
-            for process in self.world.here:
-                process.need = needs.get(process.name, process.need)
-                await process.beat(self.run)
-            self.world.check()
-            if self.run.parts.planner is not None:
-                await self.run.parts.planner.renew(self.run.parts.fleet)
-            await self.run.settle()
-
-    async def again(self, kill: bool = True) -> None:
-        await self.world.stop(kill)
-        await self.up()
-
-    async def put(self, match: Any = "", **more: Any) -> tuple[int, Any]:
-        return await self.run.call("PUT", "/v1/budgets", {"budgets": [{**BUDGET, **more}]}, match)
-
-
 def test_budgets_are_taken_whole_or_not_at_all(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
