--- a/measure/scale/needs.py
+++ b/measure/scale/needs.py
@@ -11,6 +11,8 @@
 from measure.scale.target import Role
 
 MISSING = "missing"
+QUEUES = "queues by deadline, a lane for each class"
+LIST_RECORDS = "changes by themselves; the whole list compressed"
 
 
 class Kind(StrEnum):
@@ -118,7 +120,7 @@
         target.FORWARDER_CORES,
         Source.ASSUMED,
         "core",
-        MISSING,
+        QUEUES,
     ),
     *(
         Need(
@@ -133,9 +135,9 @@
             mechanism,
         )
         for pattern, where, mechanism in (
-            ("one", "one destination", MISSING),
-            ("3.2%", "3.2% of destinations", MISSING),
-            ("all", "all destinations", MISSING),
+            ("one", "one destination", QUEUES),
+            ("3.2%", "3.2% of destinations", QUEUES),
+            ("all", "all destinations", QUEUES),
         )
     ),
     Need(
@@ -147,7 +149,7 @@
         target.FORWARDER_CORES,
         Source.ASSUMED,
         "core",
-        MISSING,
+        QUEUES,
     ),
     Need(
         Role.MESSAGE_PATH,
@@ -158,7 +160,7 @@
         target.FORWARDER_CORES,
         Source.ASSUMED,
         "core",
-        "all attempts are walked each round",
+        "calls known by target",
     ),
     Need(
         Role.MESSAGE_PATH,
@@ -238,7 +240,7 @@
         target.RECALLED_S,
         Source.ASSUMED,
         "s",
-        "in hundreds, but each sorts whole piles",
+        "in hundreds after ready",
     ),
     Need(
         Role.JOURNAL,
@@ -285,7 +287,7 @@
         target.RECORD_BYTES,
         Source.CODE,
         "byte",
-        MISSING,
+        LIST_RECORDS,
     ),
     Need(
         Role.CONFIGURATION,
@@ -296,7 +298,7 @@
         target.JOURNAL_BYTES_PER_S,
         Source.ASSUMED,
         "byte/s",
-        "the whole list for each change",
+        LIST_RECORDS,
         target.LIST_CHANGES_PER_S,
     ),
     Need(
@@ -308,7 +310,7 @@
         target.CONTROL_CORE_SHARE,
         Source.STATED,
         "core",
-        MISSING,
+        LIST_RECORDS,
         target.LIST_CHANGES_PER_S,
     ),
     Need(
