Book waiting outcomes in one place, and work out a window's top only where calls are out

Cause: the loop over outcomes that no round reads any more stood twice (freeze, hand-over); a frozen process worked out its bounds for nothing; and each look at a target worked out its window's top, though a window is never under one call and lets the first always pass.

Change: Desk.book_waiting serves both; no bound is asked while frozen; room_in asks for the top only where a call is out. Decisions stay as they were (the replay tests compare every action).

--- a/lemonshunt/choice/limits.py
+++ b/lemonshunt/choice/limits.py
@@ -53,7 +53,7 @@
 def cap(b: Books, place: Place) -> float:
     """The window's top: three quarters of the slots, half while failing or slow, never under one."""
     sick = place.mean > SLOW_TIMES * place.seed > 0 or any(
-        cold(b, t) and t.place is place for t in b.by_destination.get(place.destination, ()))
+        t.place is place and cold(b, t) for t in b.by_destination.get(place.destination, ()))
     return max(1.0, (SICK_CAP if sick else HEALTHY_CAP) * b.s.slots)
 
 
@@ -69,7 +69,7 @@
         return b.now
     here = sum(other.out for other in b.by_destination[t.destination])
     if not joins and (not slots_left or here >= max(1, int(HEALTHY_CAP * b.s.slots))
-                      or place.out >= int(min(place.window, cap(b, place)))):
+                      or place.out and place.out >= int(min(place.window, cap(b, place)))):  # none is under 1
         return NEVER
     share = b.shares.get(t.destination)
     paced_at = place.pace_at if share is None else share.room_at(b.now)
--- a/lemonshunt/net/desk.py
+++ b/lemonshunt/net/desk.py
@@ -199,6 +199,12 @@
             if self.fleet is not None and event.outcome is not i.Outcome.NOT_SENT:
                 self.fleet.wanted(m.destination, m.class_name, m.tenant)
 
+    def book_waiting(self) -> None:
+        """Journal the outcomes that wait for a round, where none may read them any more."""
+        for event in self.events:
+            if isinstance(event, i.Ended):
+                self.book(event)
+
     def left(self, call: Call) -> None:
         """A call's first byte was handed to its socket: this moment is the one that is told."""
         at_ns = time.monotonic_ns()
--- a/lemonshunt/net/leaving.py
+++ b/lemonshunt/net/leaving.py
@@ -37,9 +37,7 @@
         self.pool.cut_dials()
         if self.fleet is not None:
             self.fleet.pause()
-        for event in self.events:
-            if isinstance(event, i.Ended):
-                self.book(event)
+        self.book_waiting()
         self.store.commit(lambda ok: then(self.held()))
 
     def held(self) -> Line | None:
--- a/lemonshunt/net/stopping.py
+++ b/lemonshunt/net/stopping.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 
-from lemonshunt import interface as i
 from lemonshunt.net.client_connection import CLOSE_S
 from lemonshunt.net.desk import Desk, log
 
@@ -60,9 +59,7 @@
             self.round()
         self.frozen = True
         # Calls of that round that could not leave have come back, and no round reads it any more.
-        for event in self.events:
-            if isinstance(event, i.Ended):
-                self.book(event)
+        self.book_waiting()
         self.store.flush()
         self.pool.cut_dials()
 
--- a/lemonshunt/net/taking.py
+++ b/lemonshunt/net/taking.py
@@ -28,9 +28,9 @@
             self.figures.throttled[handed.class_name] += 1
             door.answer(HTTPStatus.SERVICE_UNAVAILABLE, "handed in twice at once", Retry_After=AWAY_S)
             return
-        bound = self.bound_met(handed)
+        bound = None if self.frozen else self.bound_met(handed)
         if self.frozen or bound is not None:
-            if bound is not None and self.clock() - self.full_us > FULL_LOG_US and not self.frozen:
+            if bound is not None and self.clock() - self.full_us > FULL_LOG_US:
                 self.full_us = self.clock()
                 log.warning("full: %d messages held; new ones are turned away by %s",
                             len(self.store.messages) + len(self.arriving), bound.value)
