--- a/measure/scale/message_watch.py
+++ b/measure/scale/message_watch.py
@@ -5,6 +5,7 @@
 
 import gc
 import logging
+import statistics
 import tempfile
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -16,6 +17,7 @@
 from lemonshunt.net.config import Address, Config, HostList
 from lemonshunt.net.engine import Engine
 from lemonshunt.net.fleet import Fleet
+from lemonshunt.net.starting import SWEEP_S
 from measure.scale import target
 from measure.scale.growth import grow, isolated, sizes_by
 from measure.scale.memory import resident_bytes
@@ -31,6 +33,10 @@
 BODY = b"x" * 200
 BATCH = 1_000
 """Messages taken on in one round."""
+ROUNDS = 5
+"""Regular rounds of the collector that are timed; the median counts."""
+POINT_S = 240.0
+"""Seconds that all repeats at one size may be expected to take."""
 LEAST_S = 0.02
 """Each kind of work is repeated until it has taken this long, and divided."""
 WORK = {
@@ -46,17 +52,22 @@
     """A forwarder that holds so many messages, spread over destinations that have no target."""
     known = HostList(1, True, ())
     engine = Engine(Config("n", NOWHERE, NOWHERE, folder, 1, 1 << 20, 256, 10**12, known, SETTINGS, ()))
+    take_on(engine, 0, live)
+    return engine
+
+
+def take_on(engine: Engine, first: int, count: int) -> None:
+    """So many more messages, in rounds."""
     now = engine.clock()
-    for first in range(0, live, BATCH):
+    for start in range(first, first + count, BATCH):
         arrivals: list[i.Event] = []
-        for number in range(first, min(live, first + BATCH)):
+        for number in range(start, min(first + count, start + BATCH)):
             taken = message(number, now)
             engine.store.take(taken)
             arrivals.append(i.Arrived(taken.id, taken.destination, taken.class_name, taken.due_us, None,
                                       taken.tenant))
         engine.store.flush()
         engine.dispatcher.handle(now, arrivals)
-    return engine
 
 
 def message(number: int, now_us: int) -> Taken:
@@ -77,6 +88,17 @@
     return spent / runs
 
 
+def regular_round(engine: Engine, live: int) -> float:
+    """Processor time of a round of the collector that comes after the traffic between two."""
+    count, spent = round(SWEEP_S * target.FORWARDER_PER_S), []
+    for turn in range(ROUNDS):
+        take_on(engine, live + turn * count, count)
+        began = time.process_time()
+        engine.collect()
+        spent.append(time.process_time() - began)
+    return statistics.median(spent)
+
+
 def regular(live: int) -> Mapping[str, float]:
     """Each kind of regular work beside so many messages."""
     logging.disable(logging.CRITICAL)
@@ -90,7 +112,7 @@
             "ends": seconds(engine.end_overdue),
             "line": seconds(lambda: engine.sum_up(time.monotonic())),
             "full": seconds(gc.collect),
-            "collector": seconds(engine.collect),
+            "collector": regular_round(engine, live),
             "demand": seconds(lambda: Fleet.waiting(member)),  # type: ignore[arg-type]
             "memory": float(resident_bytes()),
         }
@@ -99,7 +121,8 @@
 
 
 def series(progress: Progress) -> Iterator[Series]:
-    growth = grow(LIVE, lambda live: isolated(regular, live), progress, memory=lambda run: run["memory"])
+    growth = grow(LIVE, lambda live: isolated(regular, live), progress, point_s=POINT_S,
+                  memory=lambda run: run["memory"])
     for name, (title, role) in WORK.items():
         yield Series(f"forwarder: processor time of a {title}", role, "live message", "s", growth.of(name),
                      growth.bound)
