Say why a window's top is not worked out for a first call, and take the tick from the program

Need: on reading the change again the comment in room_in did not explain itself, and the page had the watch's pace as a figure of its own. Change: the comment; TICKS_PER_S follows desk.TICK_S. No decision or figure changes.

--- a/lemonshunt/choice/limits.py
+++ b/lemonshunt/choice/limits.py
@@ -68,8 +68,9 @@
     if call is not None and joins and (not cold(b, t) or may_join(b, t, call.joined)):
         return b.now
     here = sum(other.out for other in b.by_destination[t.destination])
+    # A window and its top are one call at least: with nothing out there is no need to work them out.
     if not joins and (not slots_left or here >= max(1, int(HEALTHY_CAP * b.s.slots))
-                      or place.out and place.out >= int(min(place.window, cap(b, place)))):  # none is under 1
+                      or place.out and place.out >= int(min(place.window, cap(b, place)))):
         return NEVER
     share = b.shares.get(t.destination)
     paced_at = place.pace_at if share is None else share.room_at(b.now)
--- a/measure/scale/needs.py
+++ b/measure/scale/needs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from lemonshunt.net.desk import TICK_S
 from measure.scale import message_rate, target
 from measure.scale.fit import Fit, Span, fit
 from measure.scale.results import Entry, Found, find
@@ -90,7 +91,7 @@
 
 
 HELD = float(target.FORWARDER_BACKLOG)
-TICKS_PER_S = 10.0
+TICKS_PER_S = 1 / TICK_S
 """How often the forwarder looks for messages past their time."""
 US = 1e-6
 MS = 1e-3
