--- a/review/1/case.py
+++ b/review/1/case.py
@@ -216,4 +216,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(FOLDER, case))
+    sys.exit(play(sys.argv[1], case))
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -26,6 +27,7 @@
 ROOT = HERE.parent
 HOST = "127.0.0.1"
 START = time.monotonic()
+EXIT_HELD, EXIT_BROKEN, EXIT_CANNOT_RUN = 0, 1, 2
 CLIENT_WAIT_S = 0.4
 """PROTOCOL: a client waits 400 ms for the answer."""
 
@@ -613,28 +615,35 @@
     """The case could not be played; it says nothing about the rule."""
 
 
-def play(folder: Path, case: Callable[[Record, bool], Awaitable[list[str]]]) -> int:
+def end_by_signal(_number: int, _frame: object) -> None:
+    """Leave by an exception, so that the processes that were started are ended."""
+    raise SystemExit(EXIT_CANNOT_RUN)
+
+
+def play(path: str, case: Callable[[Record, bool], Awaitable[list[str]]]) -> int:
     """Play a case, and return the exit status of its script.
 
-    The case gets the record and whether the disruption takes place (`TROUBLE` is not
-    0), and returns what broke the rule.
+    The case gets the record, which is written to the file of that path, and whether the
+    disruption takes place (`TROUBLE` is not 0). It returns what broke the rule.
     """
-    record = Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, end_by_signal)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
-    async def limited() -> list[str]:
+    async def limited(record: Record) -> list[str]:
         async with asyncio.timeout(110):
             return await case(record, trouble)
 
     try:
-        broken = asyncio.run(limited())
-    except (CannotRunError, OSError, TimeoutError) as error:
-        record.note(f"cannot run: {error!r}")
+        record = Record(Path(path))
+        broken = asyncio.run(limited(record))
+    except Exception as error:
+        # Whatever goes wrong in the case itself says nothing about the rule.
+        traceback.print_exc()
         print(f"cannot run: {error!r}")
-        return 2
+        return EXIT_CANNOT_RUN
     for line in broken:
         record.note(f"BROKEN: {line}")
         print(f"broken: {line}")
-    record.note("broken" if broken else "held")
+    record.note("the rule was broken" if broken else "the rule held")
     print("the rule was broken" if broken else "the rule held")
-    return 1 if broken else 0
+    return EXIT_BROKEN if broken else EXIT_HELD
