--- a/rainfall/forwarder/outbound/connection.py
+++ b/rainfall/forwarder/outbound/connection.py
@@ -78,6 +78,8 @@
     """The call carries several messages, and its response a state for each."""
     message_count: int = 0
     """Number of messages in the encoded request."""
+    checked_at_us: int = 0
+    """When the clock was last read to decide that the call may still be sent."""
     response_started: bool = False
     """A part of the response was received, and the timer for its completion is set."""
     open_items: dict[str, CallItem] = field(default_factory=dict)
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -240,6 +240,7 @@
         address, or a Retry-After may have been received.
         """
         now = self.clock()
+        call.checked_at_us = now
         expired_items = [
             item for item in call.open_items.values() if 0 < item.send_before_us <= now
         ]
