Allow for a hold-up of 0.15 s before a repeat with a key is written

With 150 ms held up the write comes at the window's end at the latest; PROTOCOL's 50 ms are left for the rest.

The sharper check of event_scripts.py asks that no repeat is decided on later than that. test_window_after_a_restart: its row of 0.9 s of a 1 s window was in time by the old margin only; the rows at the margin, to the microsecond, replace it.

--- a/rainfall/dispatch/idempotency.py
+++ b/rainfall/dispatch/idempotency.py
@@ -11,8 +11,11 @@
 from rainfall.dispatch.state import DispatcherState
 from rainfall.dispatch.times import NEVER
 
-TRANSIT_SLACK_US = 50_000
-"""Margin for the time a retry is in transit: it must arrive within the window."""
+MAX_SEND_DELAY_US = 150_000
+"""Longest time for which a process may be held up between reading its clock and writing
+(FLEET). A retry that is allowed this long before the end of its window is still sent
+within it.
+"""
 
 
 def retry_deadline(message: Message, sent_at: int = -NEVER) -> int:
@@ -30,7 +33,7 @@
     if message_class.idempotency is Idempotency.AT_MOST_ONCE:
         return -NEVER
     first_sent_at = message.executed_at if message.executed_at >= 0 else sent_at
-    return first_sent_at + message_class.idempotency_window_us - TRANSIT_SLACK_US
+    return first_sent_at + message_class.idempotency_window_us - MAX_SEND_DELAY_US
 
 
 def may_attempt(state: DispatcherState, message: Message) -> bool:
--- a/rainfall/forwarder/engine/call_dispatch.py
+++ b/rainfall/forwarder/engine/call_dispatch.py
@@ -15,7 +15,7 @@
     Outcome,
     SendMessage,
 )
-from rainfall.dispatch.idempotency import TRANSIT_SLACK_US
+from rainfall.dispatch.idempotency import MAX_SEND_DELAY_US
 from rainfall.forwarder.config.loading import ListedEndpoint
 from rainfall.forwarder.engine.endpoint_directory import EndpointDirectory
 from rainfall.forwarder.engine.engine_state import (
@@ -364,11 +364,12 @@
 
 
 def send_before_us(message: AcceptedMessage, message_class: MessageClass | None) -> int:
-    """Return the time by which the last byte of an attempt must be sent; 0 for no limit.
+    """Return the time from which an attempt must not be sent; 0 for no limit.
 
     The limit applies to a message with an idempotency key that may have been executed
     already: later, the endpoint may have dropped the key and would execute the message
-    again. In microseconds of the engine's clock.
+    again. The process may be held up for MAX_SEND_DELAY_US after it compared this time
+    with its clock. In microseconds of the engine's clock.
     """
     if (
         message_class is None
@@ -377,4 +378,4 @@
     ):
         return 0
     window_end_us = message.executed_at_us + message_class.idempotency_window_us
-    return window_end_us - TRANSIT_SLACK_US
+    return window_end_us - MAX_SEND_DELAY_US
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -29,7 +29,7 @@
     OutcomeSink,
 )
 from rainfall.forwarder.outbound.idle_connections import IdleConnections
-from rainfall.forwarder.outbound.permits import PERMIT_GRANTED, PERMIT_TIME_UNKNOWN
+from rainfall.forwarder.outbound.permits import PERMIT_GRANTED
 from rainfall.forwarder.outbound.responses import parse_retry_after_us
 from rainfall.forwarder.units import MS_PER_SECOND, US_PER_MS, US_PER_SECOND
 
@@ -239,21 +239,13 @@
         message may have expired, the endpoint may have been removed or have got another
         address, or a Retry-After may have been received.
         """
-        now = self.clock()
-        call.checked_at_us = now
-        expired_items = [
-            item for item in call.open_items.values() if 0 < item.send_before_us <= now
-        ]
-        for item in expired_items:
-            self.finish_item(call, item, AttemptResult(Outcome.NOT_SENT))
-        if expired_items:
-            self.arm_timeout(call)
+        self._drop_late_items(call)
         if self.addresses.get(call.endpoint) != connection.address:
             # The endpoint was drained, or its address changed, while the connection was
             # established: nothing may be sent to the former address.
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             connection.close()
-        elif not call.open_items or now < self.retry_after_until.get(
+        elif not call.open_items or self.clock() < self.retry_after_until.get(
             call.throttle_scope, 0
         ):
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
@@ -261,15 +253,34 @@
         else:
             self.launch(call, connection)
 
+    def _drop_late_items(self, call: OutboundCall) -> None:
+        """End the attempts of a call that must not be sent any more at this time."""
+        now = self.clock()
+        call.checked_at_us = now
+        late_items = [
+            item for item in call.open_items.values() if 0 < item.send_before_us <= now
+        ]
+        for item in late_items:
+            self.finish_item(call, item, AttemptResult(Outcome.NOT_SENT))
+        if late_items:
+            self.arm_timeout(call)
+
     def launch(self, call: OutboundCall, connection: EndpointConnection) -> None:
-        """Write a call if its permit is granted, directly after the permit.
+        """Journal a call's attempts, and write the call if it may still be sent.
 
-        The permit may become available slightly later than the dispatcher expected,
-        because earlier calls were sent later than planned. The call then waits for up to
-        PERMIT_WAIT_US.
+        The journal comes before the last reading of the clock, so that a slow disk
+        cannot delay the call beyond its limits. The permit may become available slightly
+        later than the dispatcher expected, because earlier calls were sent later than
+        planned. The call then waits for up to PERMIT_WAIT_US.
         """
+        recorded = self.record_attempts is None or self.record_attempts(call)
+        self._drop_late_items(call)
+        if not recorded or not call.open_items:
+            self.finish(call, AttemptResult(Outcome.NOT_SENT))
+            self.keep_idle(connection, call.endpoint)
+            return
         data = self.encode_call(call)
-        permit_delay_us = self._record_and_acquire_permit(call)
+        permit_delay_us = self.acquire_permit(call) if self.acquire_permit else 0
         if permit_delay_us == PERMIT_GRANTED:
             connection.send_call(call, data)
             if self.on_call_sent is not None:
@@ -288,22 +299,6 @@
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             self.keep_idle(connection, call.endpoint)
 
-    def _record_and_acquire_permit(self, call: OutboundCall) -> int:
-        """Journal a call's attempts, then request its permit.
-
-        Both happen right before the first byte. If they happened earlier, attempts
-        could be journaled, and permits used up, for a call that is never sent.
-
-        Returns:
-            The result of `acquire_permit`; PERMIT_TIME_UNKNOWN if the attempts could
-            not be journaled, PERMIT_GRANTED if no permits are required.
-        """
-        if self.record_attempts is not None and not self.record_attempts(call):
-            return PERMIT_TIME_UNKNOWN
-        if self.acquire_permit is None:
-            return PERMIT_GRANTED
-        return self.acquire_permit(call)
-
     def retry_launch(self, call: OutboundCall, connection: EndpointConnection) -> None:
         """Try again to launch a call that waited for its permit."""
         if connection.is_reusable():
--- a/tests/dispatch/test_idempotency_window.py
+++ b/tests/dispatch/test_idempotency_window.py
@@ -31,7 +31,7 @@
     TimerExpired,
 )
 from rainfall.dispatch.completion import MIN_RETRY_AFTER_US
-from rainfall.dispatch.idempotency import TRANSIT_SLACK_US
+from rainfall.dispatch.idempotency import MAX_SEND_DELAY_US
 from rainfall.forwarder.config.loading import (
     Address,
     Config,
@@ -114,8 +114,8 @@
     "ended_at, retried",
     [
         (300 * MS, True),
-        (WINDOW - TRANSIT_SLACK_US - 1, True),
-        (WINDOW - TRANSIT_SLACK_US, False),
+        (WINDOW - MAX_SEND_DELAY_US - 1, True),
+        (WINDOW - MAX_SEND_DELAY_US, False),
         (WINDOW, False),
     ],
 )
@@ -190,7 +190,7 @@
     "window, answer_type",
     [
         (MIN_RETRY_AFTER_US, FailMessage),
-        (MIN_RETRY_AFTER_US + TRANSIT_SLACK_US + 300 * MS, FailMessage),
+        (MIN_RETRY_AFTER_US + MAX_SEND_DELAY_US + 300 * MS, FailMessage),
         (10 * S, RejectMessage),
     ],
 )
@@ -222,7 +222,13 @@
 
 
 @pytest.mark.parametrize(
-    "executed_offset, retried", [(-900 * MS, True), (-WINDOW, False), (-3 * S, False)]
+    "executed_offset, retried",
+    [
+        (-(WINDOW - MAX_SEND_DELAY_US) + 1, True),
+        (-(WINDOW - MAX_SEND_DELAY_US), False),
+        (-WINDOW, False),
+        (-3 * S, False),
+    ],
 )
 def test_window_after_a_restart_runs_from_the_first_call_before_it(
     executed_offset: int, retried: bool
@@ -649,7 +655,7 @@
         engine.run_round()
         (item,) = calls[0].items
         assert item.send_before_us == (
-            now + 30 * S - TRANSIT_SLACK_US if limited else 0
+            now + 30 * S - MAX_SEND_DELAY_US if limited else 0
         )
         engine.store.close()
 
--- a/tests/reference/books.py
+++ b/tests/reference/books.py
@@ -48,8 +48,8 @@
 # each forwarder learns more about the limit
 SHARE_ROOM = 3.0
 IDLE_LEAST_US = 200_000  # a connection that is unused for longer counts as idle
-# the protocol's tolerance for time limits over sockets: a retry may be in transit for so long
-WIRE_US = 50_000
+# how long a process may be held up between reading its clock and writing a retry
+WIRE_US = 150_000
 
 
 @dataclass(slots=True, eq=False, repr=False)
--- a/tests/support/event_scripts.py
+++ b/tests/support/event_scripts.py
@@ -38,6 +38,8 @@
 MS = 1_000
 S = 1_000_000
 ROUND = 5 * MS
+# a forwarder may be held up for so long between reading its clock and writing (FLEET)
+LONGEST_HOLD_UP_US = 150 * MS
 
 
 def settings(**changes: Any) -> Settings:
@@ -360,8 +362,9 @@
                 "at-most-once message sent again after it may have been executed"
             )
         if ran and cls.idempotency is Idempotency.WITH_KEY:
-            assert self.now <= ran[0]["at"] + cls.idempotency_window_us, (
-                "retried after its idempotency window"
+            window_end = ran[0]["at"] + cls.idempotency_window_us
+            assert self.now < window_end - LONGEST_HOLD_UP_US, (
+                "retried too late to be sent within its idempotency window"
             )
             if cls.idempotency_scope is IdempotencyScope.ZONE:
                 assert entry.zone == self.entries[ran[0]["target"]].zone, (
--- a/tests/support/random_worlds.py
+++ b/tests/support/random_worlds.py
@@ -147,7 +147,7 @@
                         deadline + S,
                         keyed,
                         scope,
-                        self.pick(100 * MS, 4 * S),
+                        self.pick(200 * MS, 4100 * MS),
                     )
                     for scope in IdempotencyScope
                 ),
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -100,6 +100,7 @@
     "budget.fair_share.MAX_CREDIT": NUMBER,
     "budget.demand.MAX_PARTS": "separate parts of one destination's demand; the others are merged into one",
     "dispatch.endpoint_list.MAX_POLL_RETRY_US": NUMBER,
+    "dispatch.idempotency.MAX_SEND_DELAY_US": NUMBER,
     "journal.__main__.MAX_LISTED_IDS": "names on one printed line; the report contains all of them",
     "journal.format.MAX_FRAME_NUMBER": NUMBER,
     "journal.format.MAX_V1_RECORD_BYTES": TEXT,
