Take no surplus of a response for the next call's response

Callers saw: where an endpoint sends more than one response to a call, a 504 counted as delivered by the 200 before it, and a delivered message was called again on a 504 that was not its own.

Change: a response whose last byte is not the last of its read ends the connection's use. Unread input is looked for right before the write. A connection rests 10 ms after a response (REUSE_PAUSE_US), and the response is acknowledged at once (TCP_QUICKACK). Input on a reused connection while bytes of the request are unacknowledged (SIOCOUTQ) was sent before the call arrived: the attempt may have run, the connection is closed. So does a batch's response with foreign ids end for the messages that it leaves out.

--- a/rainfall/forwarder/engine/call_dispatch.py
+++ b/rainfall/forwarder/engine/call_dispatch.py
@@ -33,7 +33,7 @@
     OutboundCall,
     fits_batch,
 )
-from rainfall.forwarder.units import US_PER_MS, US_PER_SECOND
+from rainfall.forwarder.units import US_PER_SECOND
 
 MAX_EARLY_TIMEOUT_US = 150_000
 """Maximum time by which a call times out before its message's deadline, to allow for a
@@ -44,9 +44,6 @@
 JOURNAL_FAILURE_BACKOFF_S = 0.25
 """Backoff if a message's first attempt could not be journaled; doubles per attempt."""
 
-SEND_DELAY_WARNING_US = 50_000
-"""A call that is written later than this after its last check is logged."""
-
 CallStep = CloseIdleConnections | OutboundCall | CancelAttempt
 """An action on connections that waits until the round's records are committed."""
 
@@ -294,13 +291,6 @@
     def on_call_sent(self, call: OutboundCall) -> None:
         """Count a call against the fleet quota and trace it, after its first byte."""
         at_ns = time.monotonic_ns()
-        send_delay_us = self.clock() - call.checked_at_us
-        if send_delay_us > SEND_DELAY_WARNING_US:
-            log.warning(
-                "target %d: call written %d ms after the last check of its limits",
-                call.endpoint,
-                send_delay_us // US_PER_MS,
-            )
         if self.state.fleet is not None:
             self.state.fleet.on_call_sent(call)
         if trace_log.isEnabledFor(logging.INFO):
@@ -314,7 +304,6 @@
                         "target": self.directory.names.get(call.endpoint, ""),
                         "destination": destination,
                         "t_ns": at_ns,
-                        "send_delay_us": send_delay_us,
                     },
                 )
 
--- a/rainfall/forwarder/http1.py
+++ b/rainfall/forwarder/http1.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
-import select
 from collections.abc import Iterable
 
 import httptools
@@ -75,8 +73,8 @@
         """Bytes of interim responses (1xx), which are discarded."""
         self.in_headers = True
         """The headers are not complete yet."""
-        self.has_extra_response = False
-        """A second response follows, although there was one request."""
+        self.has_surplus = False
+        """Further input follows the response, although there was one request."""
         self.any_bytes_received = False
         """Some input was received, even if only of an interim response."""
         self.too_large = False
@@ -110,16 +108,16 @@
             MalformedResponseError: The response is malformed or too large.
         """
         self.any_bytes_received = True
-        if self.complete:  # Input after the response.
+        if self.complete:
+            self.has_surplus = True
             self.keep_alive = False
             return
         if not self.status_line_code:
             data = self.read_status_line(data)
             if not data:
                 return
-        assert self.parser is not None
         try:
-            self.parser.feed_data(data)
+            self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise MalformedResponseError(
@@ -128,9 +126,8 @@
                     else str(error)
                 ) from None
             self.keep_alive = False
-        # A second response or stray bytes follow: the first response is valid, but the
-        # connection cannot be reused.
-        if self.has_extra_response:
+        # The response is valid, but the connection cannot be reused.
+        if self.has_surplus:
             self.keep_alive = False
         self.raw_bytes += len(data)
         if not self.complete and self.raw_bytes > self._max_raw_bytes():
@@ -138,6 +135,21 @@
                 f"incomplete response exceeds {self._max_raw_bytes()} raw bytes"
             )
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser, and note whether input follows the response.
+
+        The parser skips blank lines after a response without a sign. But it completes a
+        response with its last byte, so if that is not the input's last one, more follows.
+        """
+        assert self.parser is not None
+        if len(data) > 1:
+            try:
+                self.parser.feed_data(data[:-1])
+            finally:
+                self.has_surplus = self.complete
+        if not self.complete:
+            self.parser.feed_data(data[-1:])
+
     def _max_raw_bytes(self) -> int:
         """Return the current limit of `raw_bytes`.
 
@@ -219,10 +231,6 @@
 
     # Called by the parser
 
-    def on_message_begin(self) -> None:
-        """Start a response; a second one is recorded as extra."""
-        self.has_extra_response = self.complete
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
         if self.complete:
@@ -281,13 +289,3 @@
     if method != "GET":
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
-
-
-def has_unread_input(transport: asyncio.Transport) -> bool:
-    """Whether a transport's socket has input that the event loop has not read yet.
-
-    That may be data, the end of the stream or a reset.
-    """
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poll.poll(0))
--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -20,9 +20,9 @@
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     RAW_BODY_FACTOR,
-    has_unread_input,
 )
 from rainfall.forwarder.inbound.requests import BadRequestError, Request
+from rainfall.forwarder.socket_state import has_unread_input
 
 __all__ = ["BadRequestError", "ClientConnection", "ConnectionRegistry", "Request"]
 MAX_QUEUED_REQUESTS = 8
--- a/rainfall/forwarder/outbound/connection.py
+++ b/rainfall/forwarder/outbound/connection.py
@@ -17,16 +17,21 @@
 from rainfall.dispatch import AttemptFinished, Outcome
 from rainfall.dispatch.endpoints import ThrottleScopeKey
 from rainfall.forwarder.config.loading import Address
-from rainfall.forwarder.http1 import (
-    MalformedResponseError,
-    ResponseReader,
+from rainfall.forwarder.http1 import MalformedResponseError, ResponseReader
+from rainfall.forwarder.socket_state import (
+    acknowledge_input,
     has_unread_input,
+    unacknowledged_bytes,
 )
 
 STALE_CONNECTION_US = 30_000
 """A reused connection that breaks within this time of its next call was stale: the
 endpoint had closed it while it was idle.
 """
+REUSE_PAUSE_US = 10_000
+"""A connection carries no call for this time after a response, so that input that follows
+the response is received before the next call is written.
+"""
 NEVER_IDLE = -1
 """Value of an idle time where the connection was not idle."""
 
@@ -124,6 +129,9 @@
         ) -> None:
             """End a call whose response is complete, or whose connection is broken."""
 
+        def on_foreign_input(self, call: OutboundCall) -> None:
+            """End a call whose connection received input that is not its response."""
+
         def record_staleness(self, age_us: int, stale: bool) -> None:
             """Record whether a connection that was idle for this time was stale."""
 
@@ -142,6 +150,8 @@
         self.address = address
         self.idle_since_us = NEVER_IDLE
         """When the connection became idle; NEVER_IDLE if it is not idle."""
+        self.reusable_at_us = 0
+        """When the pause after the last response ends; 0 before the first one."""
         self.call_started_us = 0
         """When the last call was written."""
         self.idle_age_us = NEVER_IDLE
@@ -238,6 +248,11 @@
             # Input without a request: the connection must not be reused.
             self.close()
             return
+        if self._precedes_call():
+            self._release_call(call)
+            self.abort_call()
+            self.pool.on_foreign_input(call)
+            return
         try:
             self.reader.feed(data)
         except MalformedResponseError as error:
@@ -253,21 +268,42 @@
         elif self.reader.response_started:
             self.pool.on_response_started(call)
 
+    def _precedes_call(self) -> bool:
+        """Whether input that was just received was sent before the call arrived.
+
+        Then it follows an earlier response. A response acknowledges the whole request,
+        as an endpoint starts a call with its last byte. If the whole request is
+        acknowledged, nothing is known.
+        """
+        return (
+            self.idle_age_us >= 0
+            and not self.reader.any_bytes_received
+            and self.transport is not None
+            and unacknowledged_bytes(self.transport) > 0
+        )
+
     def _release_call(self, call: OutboundCall) -> None:
         self.call = None
         call.connection = None
 
     def _finish_call(self, call: OutboundCall) -> None:
         self.pool.record_staleness(self.idle_age_us, False)
+        self.reusable_at_us = self.pool.clock() + REUSE_PAUSE_US
         self._release_call(call)
         self.pool.on_response(call, self.reader)
         # If the endpoint answered before the request was complete, the rest must not be
         # sent: the endpoint would start the call only then.
         if self.reader.keep_alive and call.written and not self.is_closing():
+            self._acknowledge_response()
             self.pool.keep_idle(self, call.endpoint)
         else:
             self.close()
 
+    def _acknowledge_response(self) -> None:
+        """Let the endpoint's machine send what it holds back, before the next call."""
+        if self.transport is not None:
+            acknowledge_input(self.transport)
+
     def eof_received(self) -> None:
         """Close if the call is not completely written (called by the event loop).
 
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -65,6 +65,8 @@
 """Maximum length of the error text in such a line."""
 PERMIT_WAIT_US = 50_000
 """Maximum delay for which a call waits for its permit; else it ends as not sent."""
+SEND_DELAY_WARNING_US = 50_000
+"""A call that is written later than this after its last check is logged."""
 RESPONSE_COMPLETION_S = 0.5
 """A response that is still incomplete this long after its start is malformed."""
 LOCAL_DIAL_ERRNOS = (
@@ -173,21 +175,6 @@
         self.dial_tasks.add(task)
         task.add_done_callback(self.dial_tasks.discard)
 
-    def _take_idle(self, endpoint: int) -> EndpointConnection | None:
-        """Return the most recently used idle connection that can be reused, if any.
-
-        Connections that cannot be reused are closed on the way.
-        """
-        idle = self.idle.get(endpoint, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable() and self.is_age_trusted(
-                self.clock() - connection.idle_since_us
-            ):
-                return connection
-            connection.close()
-        return None
-
     async def dial(self, call: OutboundCall, address: Address) -> None:
         """Connect to an endpoint, and launch the call on the new connection."""
         loop = asyncio.get_running_loop()
@@ -233,7 +220,7 @@
     def launch_if_still_allowed(
         self, call: OutboundCall, connection: EndpointConnection
     ) -> None:
-        """Launch a call, unless it must not be sent any more.
+        """Launch a call after its connection's pause, unless it must not be sent any more.
 
         Since the dispatcher's decision, and while the connection was established, a
         message may have expired, the endpoint may have been removed or have got another
@@ -250,6 +237,10 @@
         ):
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             self.keep_idle(connection, call.endpoint)
+        elif pause_us := self.reuse_pause_us(connection):
+            asyncio.get_running_loop().call_later(
+                pause_us / US_PER_SECOND, self.retry_launch, call, connection
+            )
         else:
             self.launch(call, connection)
 
@@ -279,10 +270,16 @@
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             self.keep_idle(connection, call.endpoint)
             return
+        if connection.idle_since_us >= 0 and not connection.is_reusable():
+            # Something arrived meanwhile, or the endpoint has closed the connection.
+            connection.close()
+            self.connect(call)
+            return
         data = self.encode_call(call)
         permit_delay_us = self.acquire_permit(call) if self.acquire_permit else 0
         if permit_delay_us == PERMIT_GRANTED:
             connection.send_call(call, data)
+            self._log_send_delay(call)
             if self.on_call_sent is not None:
                 self.on_call_sent(call)
         elif (
@@ -299,8 +296,18 @@
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             self.keep_idle(connection, call.endpoint)
 
+    def _log_send_delay(self, call: OutboundCall) -> None:
+        """Log a call that was written long after its limits in time were checked."""
+        send_delay_us = self.clock() - call.checked_at_us
+        if send_delay_us > SEND_DELAY_WARNING_US:
+            log.warning(
+                "target %d: call written %d ms after the last check of its limits",
+                call.endpoint,
+                send_delay_us // US_PER_MS,
+            )
+
     def retry_launch(self, call: OutboundCall, connection: EndpointConnection) -> None:
-        """Try again to launch a call that waited for its permit."""
+        """Launch a call that waited for its permit or for its connection's pause."""
         if connection.is_reusable():
             self.launch_if_still_allowed(call, connection)
             return
@@ -559,6 +566,16 @@
         else:
             self.finish(call, responses.parse_shared(reader), report)
 
+    def on_foreign_input(self, call: OutboundCall) -> None:
+        """End a call whose connection received input that is not its response.
+
+        The call may have been executed all the same, if it was completely written.
+        """
+        self._cancel_timer(call)
+        self.log_malformed_response(call, "input before the request had arrived")
+        outcome = Outcome.UNREADABLE if call.written else Outcome.NO_CONNECTION
+        self.finish(call, AttemptResult(outcome, weak_evidence=True))
+
     @staticmethod
     def _broken_outcome(call: OutboundCall, reader: ResponseReader) -> Outcome:
         """Return the outcome where a response is missing, incomplete or malformed.
@@ -577,14 +594,23 @@
     def on_batch_response(
         self, call: OutboundCall, reader: ResponseReader, report: LoadReport | None
     ) -> None:
-        """End a batch call by the states of its messages in the response."""
+        """End a batch call by the states of its messages in the response.
+
+        A response that names other messages belongs, at least in part, to another call.
+        """
+        unlisted = AttemptResult(Outcome.FAILED)
+        unreadable = AttemptResult(Outcome.UNREADABLE, weak_evidence=True)
         try:
             results = responses.parse_batch(reader)
         except MalformedResponseError as error:
+            reader.keep_alive = False
             self.log_malformed_response(call, error)
-            self.finish(call, AttemptResult(Outcome.UNREADABLE, weak_evidence=True))
+            self.finish(call, unreadable)
             return
-        unlisted = AttemptResult(Outcome.FAILED)
+        if not results.keys() <= call.open_items.keys():
+            reader.keep_alive = False
+            self.log_malformed_response(call, "response names messages of other calls")
+            unlisted = unreadable
         for item in list(call.open_items.values()):
             self.finish_item(call, item, results.get(item.id, unlisted), report)
 
--- a/rainfall/forwarder/outbound/idle_connections.py
+++ b/rainfall/forwarder/outbound/idle_connections.py
@@ -49,7 +49,7 @@
         self.stale_shares = [0.0] * AGE_CLASSES
         """Share of reused connections that were stale, by class of idle time."""
         self.idle: dict[int, list[EndpointConnection]] = {}
-        """Idle connections by endpoint, in the order in which they became available."""
+        """Idle connections by endpoint, in the order in which they became idle."""
         self.connections: set[EndpointConnection] = set()
         """All open connections, idle or with a call."""
         self.dial_tasks: set[asyncio.Task[None]] = set()
@@ -126,6 +126,28 @@
             self.stale_shares[age_class] = share * STALE_SHARE_DECAY
         return share <= STALE_SHARE_LIMIT
 
+    def _take_idle(self, endpoint: int) -> EndpointConnection | None:
+        """Return an idle connection that can be reused, if there is one.
+
+        That is the most recently used one whose pause is over, or else the one whose
+        pause ends first. Connections that cannot be reused are closed on the way.
+        """
+        idle = self.idle.get(endpoint, [])
+        while idle:
+            now = self.clock()
+            rested = sum(candidate.reusable_at_us <= now for candidate in idle)
+            connection = idle.pop(max(0, rested - 1))
+            if connection.is_reusable() and self.is_age_trusted(
+                now - connection.idle_since_us
+            ):
+                return connection
+            connection.close()
+        return None
+
+    def reuse_pause_us(self, connection: EndpointConnection) -> int:
+        """Return how much of a connection's pause after a response is left."""
+        return max(0, connection.reusable_at_us - self.clock())
+
     def keep_idle(self, connection: EndpointConnection, endpoint: int) -> None:
         """Keep a connection without a call for reuse, or close it."""
         idle = self.idle.setdefault(endpoint, [])
@@ -143,6 +165,7 @@
         if connection.idle_since_us < 0:
             connection.idle_since_us = self.clock()
         idle.append(connection)
+        idle.sort(key=lambda candidate: candidate.idle_since_us)
         if not self.sweeping:
             self.sweeping = True
             asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
--- a/tests/forwarder/test_call_races.py
+++ b/tests/forwarder/test_call_races.py
@@ -179,11 +179,15 @@
         return call, endpoint_socket
 
     async def open_idle_connections(self, count: int = 1) -> list[socket.socket]:
-        """Opens `count` idle connections, each of which has carried one call."""
+        """Opens `count` idle connections, each of which has carried one call, and ends
+        their pauses.
+        """
         calls = [await self.start_call(f"before-{n}") for n in range(count)]
         for _, endpoint_socket in calls:
             endpoint_socket.sendall(OK)
         await until(lambda: len(self.pool.idle.get(1, [])) == count)
+        for connection in self.pool.idle[1]:
+            connection.reusable_at_us = 0
         assert self.outcomes() == [Outcome.DELIVERED] * count
         self.finished_attempts.clear()
         return [endpoint_socket for _, endpoint_socket in calls]
