Keep surplus input off the next request for the list or a notification

Callers saw nothing yet: a second 204 that crossed the next post would have counted as its acknowledgment, and a notification that was answered with an error would never have come.

Cause: the client connection to discovery, the platform and the list service looked at neither unread input nor the time since the last response.

Change: the same as for calls: unread input and a pause of 10 ms before a request, the response acknowledged at once, and input that comes before the request has arrived ends the connection and the request with an error. Each request of this client may be repeated.

--- a/rainfall/forwarder/discovery/endpoint_watch.py
+++ b/rainfall/forwarder/discovery/endpoint_watch.py
@@ -222,6 +222,7 @@
         deadline = loop.time() + timeout_s
         connection = self.connection
         try:
+            await connection.wait_until_reusable()
             if connection.is_usable():
                 try:
                     return await connection.exchange(data, deadline)
--- a/rainfall/forwarder/discovery/http_connection.py
+++ b/rainfall/forwarder/discovery/http_connection.py
@@ -9,6 +9,16 @@
     MalformedResponseError,
     ResponseReader,
 )
+from rainfall.forwarder.socket_state import (
+    acknowledge_input,
+    has_unread_input,
+    unacknowledged_bytes,
+)
+
+REUSE_PAUSE_S = 0.01
+"""No request is sent for this time after a response, so that input that follows the
+response is received before the next request is written.
+"""
 
 
 class HttpConnection(asyncio.Protocol):
@@ -21,6 +31,10 @@
         """Done once the response of the current request is complete or has failed."""
         self.error: Exception | None = None
         """Why the last response failed."""
+        self.reusable_at_s = 0.0
+        """When the pause after the last response ends, by the event loop's clock; 0
+        before the first one.
+        """
         self.retired = False
         """No further request may be sent. The socket stays open, so that its descriptor
         remains in use until the next connection is made.
@@ -37,6 +51,12 @@
             # Input without a request must not become the start of the next response.
             self.close()
             return
+        if self._precedes_request():
+            self.finish_response(
+                MalformedResponseError("input before the request had arrived")
+            )
+            self.close()
+            return
         try:
             self.reader.feed(data)
         except MalformedResponseError as error:
@@ -44,8 +64,23 @@
             self.close()
             return
         if self.reader.complete:
+            if self.transport is not None:
+                acknowledge_input(self.transport)
             self.finish_response(None)
 
+    def _precedes_request(self) -> bool:
+        """Whether input that was just received was sent before the request arrived.
+
+        See `EndpointConnection`. On a new connection there is nothing that it could
+        follow.
+        """
+        return (
+            self.reusable_at_s > 0
+            and not self.reader.any_bytes_received
+            and self.transport is not None
+            and unacknowledged_bytes(self.transport) > 0
+        )
+
     def connection_lost(self, error: Exception | None) -> None:
         """End the current response (called by the event loop)."""
         self.transport = None
@@ -86,8 +121,23 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def is_usable(self) -> bool:
-        """Whether a request may be sent."""
-        return self.is_open() and not self.retired
+        """Whether a request may be sent.
+
+        Unread input, such as the end of the stream or a second response, would be taken
+        for the response to the next request.
+        """
+        return (
+            self.transport is not None
+            and self.is_open()
+            and not self.retired
+            and not has_unread_input(self.transport)
+        )
+
+    async def wait_until_reusable(self) -> None:
+        """Wait for the end of the pause after the last response."""
+        pause_s = self.reusable_at_s - asyncio.get_running_loop().time()
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
 
     async def exchange(self, data: bytes, deadline: float) -> ResponseReader:
         """Send a request and return its response.
@@ -118,6 +168,7 @@
             self.response.cancel()  # No effect if it is done.
         if self.error is not None:
             raise self.error
+        self.reusable_at_s = loop.time() + REUSE_PAUSE_S
         if not self.reader.keep_alive:
             self.close()
         return self.reader
