--- a/rainfall/forwarder/discovery/http_connection.py
+++ b/rainfall/forwarder/discovery/http_connection.py
@@ -6,6 +6,7 @@
 
 from rainfall.forwarder.http1 import (
     MAX_LIST_BYTES,
+    REUSE_PAUSE_US,
     MalformedResponseError,
     ResponseReader,
 )
@@ -14,11 +15,7 @@
     has_unread_input,
     unacknowledged_bytes,
 )
-
-REUSE_PAUSE_S = 0.01
-"""No request is sent for this time after a response, so that input that follows the
-response is received before the next request is written.
-"""
+from rainfall.forwarder.units import US_PER_SECOND
 
 
 class HttpConnection(asyncio.Protocol):
@@ -168,7 +165,7 @@
             self.response.cancel()  # No effect if it is done.
         if self.error is not None:
             raise self.error
-        self.reusable_at_s = loop.time() + REUSE_PAUSE_S
+        self.reusable_at_s = loop.time() + REUSE_PAUSE_US / US_PER_SECOND
         if not self.reader.keep_alive:
             self.close()
         return self.reader
--- a/rainfall/forwarder/engine/shutdown.py
+++ b/rainfall/forwarder/engine/shutdown.py
@@ -9,7 +9,7 @@
                         each connection closes after its next response.
 1.0 ACCEPT_PERIOD_S     `advance_shutdown`, from now on every SHUTDOWN_STEP_S: idle
                         connections are closed too; a new one stays open for
-                        FIRST_REQUEST_GRACE_US (`client_connection`).
+                        FIRST_REQUEST_GRACE_US (`connection_registry`).
 2.8 FREEZE_AFTER_S      `freeze`: the last round. No more calls are sent; calls in
                         flight may finish, and their outcomes are journaled.
 3.3 EXIT_AFTER_S        `signal_stopped`: calls still in flight are abandoned.
@@ -34,7 +34,7 @@
 from rainfall.forwarder.engine.intake import Intake
 from rainfall.forwarder.engine.remote_calls import RemoteCallTracker
 from rainfall.forwarder.handover.source import HandoverSource
-from rainfall.forwarder.inbound.client_connection import CLOSE_GRACE_S
+from rainfall.forwarder.inbound.connection_registry import CLOSE_GRACE_S
 from rainfall.forwarder.inbound.server import InboundServer
 from rainfall.forwarder.message_store import MessageStore
 from rainfall.forwarder.outbound.connection_pool import ConnectionPool
--- a/rainfall/forwarder/engine/startup.py
+++ b/rainfall/forwarder/engine/startup.py
@@ -18,7 +18,7 @@
 from rainfall.forwarder.handover.journal_lock import JournalLock
 from rainfall.forwarder.handover.source import HandoverSource
 from rainfall.forwarder.handover.target import HandoverTarget, TargetEngine
-from rainfall.forwarder.inbound.client_connection import SETTLE_LOOP_ITERATIONS
+from rainfall.forwarder.inbound.connection_registry import SETTLE_LOOP_ITERATIONS
 from rainfall.forwarder.inbound.server import InboundServer
 from rainfall.forwarder.message_store import MessageStore
 from rainfall.forwarder.outbound.connection_pool import ConnectionPool
--- a/rainfall/forwarder/http1.py
+++ b/rainfall/forwarder/http1.py
@@ -27,6 +27,10 @@
 STATUS_PREFIX_BYTES = 13
 """Number of bytes of a status line that suffice to match STATUS_LINE."""
 HEADER_END = b"\r\n\r\n"
+REUSE_PAUSE_US = 10_000
+"""A connection carries no request for this time after a response, so that input that
+follows the response is received before the next request is written.
+"""
 Headers = dict[str, str]
 
 
--- a/rainfall/forwarder/inbound/server.py
+++ b/rainfall/forwarder/inbound/server.py
@@ -11,10 +11,8 @@
 from http import HTTPStatus
 
 from rainfall.dispatch import Settings
-from rainfall.forwarder.inbound.client_connection import (
-    ClientConnection,
-    ConnectionRegistry,
-)
+from rainfall.forwarder.inbound.client_connection import ClientConnection
+from rainfall.forwarder.inbound.connection_registry import ConnectionRegistry
 from rainfall.forwarder.inbound.messages import (
     ResponseWriter,
     SubmittedMessage,
--- a/rainfall/forwarder/outbound/connection.py
+++ b/rainfall/forwarder/outbound/connection.py
@@ -17,7 +17,11 @@
 from rainfall.dispatch import AttemptFinished, Outcome
 from rainfall.dispatch.endpoints import ThrottleScopeKey
 from rainfall.forwarder.config.loading import Address
-from rainfall.forwarder.http1 import MalformedResponseError, ResponseReader
+from rainfall.forwarder.http1 import (
+    REUSE_PAUSE_US,
+    MalformedResponseError,
+    ResponseReader,
+)
 from rainfall.forwarder.socket_state import (
     acknowledge_input,
     has_unread_input,
@@ -28,10 +32,6 @@
 """A reused connection that breaks within this time of its next call was stale: the
 endpoint had closed it while it was idle.
 """
-REUSE_PAUSE_US = 10_000
-"""A connection carries no call for this time after a response, so that input that follows
-the response is received before the next call is written.
-"""
 NEVER_IDLE = -1
 """Value of an idle time where the connection was not idle."""
 
--- a/tests/forwarder/test_request_forms.py
+++ b/tests/forwarder/test_request_forms.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from rainfall.forwarder.inbound.client_connection import SETTLE_LOOP_ITERATIONS
+from rainfall.forwarder.inbound.connection_registry import SETTLE_LOOP_ITERATIONS
 from rainfall.forwarder.inbound.server import SubmittedMessage
 from tests.forwarder.test_shutdown_races import ClientSocket, ServerHarness, play
 from tests.support.loopback_peers import message
--- a/tests/forwarder/test_shutdown_races.py
+++ b/tests/forwarder/test_shutdown_races.py
@@ -26,9 +26,10 @@
 from rainfall.forwarder.engine import shutdown, startup
 from rainfall.forwarder.engine.engine import Engine
 from rainfall.forwarder.engine.engine_state import Clock
-from rainfall.forwarder.inbound import client_connection
+from rainfall.forwarder.inbound import connection_registry
 from rainfall.forwarder.inbound import server as server_file
-from rainfall.forwarder.inbound.client_connection import CLOSE_GRACE_S, ClientConnection
+from rainfall.forwarder.inbound.client_connection import ClientConnection
+from rainfall.forwarder.inbound.connection_registry import CLOSE_GRACE_S
 from rainfall.forwarder.inbound.server import (
     InboundServer,
     ResponseWriter,
@@ -276,7 +277,7 @@
         harness.immediate_status = HTTPStatus.ACCEPTED
         client.send(message("m"))
         assert (await client.answer())[0] == 202 and await client.read_to_end() == b""
-        monkeypatch.setattr(client_connection, "FIRST_REQUEST_GRACE_US", 0)
+        monkeypatch.setattr(connection_registry, "FIRST_REQUEST_GRACE_US", 0)
         harness.server.drain()
         assert (
             await silent.read_to_end() == b""
@@ -724,7 +725,7 @@
     )
     assert longest <= 3.66
     assert (
-        shutdown.ACCEPT_PERIOD_S + client_connection.FIRST_REQUEST_GRACE_US / 1e6
+        shutdown.ACCEPT_PERIOD_S + connection_registry.FIRST_REQUEST_GRACE_US / 1e6
         < shutdown.FREEZE_AFTER_S
         < shutdown.EXIT_AFTER_S
     )
--- a/tests/forwarder/test_surplus_control_input.py
+++ b/tests/forwarder/test_surplus_control_input.py
@@ -8,8 +8,7 @@
 import pytest
 
 from rainfall.forwarder.discovery.endpoint_watch import HttpClient
-from rainfall.forwarder.discovery.http_connection import REUSE_PAUSE_S
-from rainfall.forwarder.http1 import MalformedResponseError
+from rainfall.forwarder.http1 import REUSE_PAUSE_US, MalformedResponseError
 from tests.forwarder.test_call_races import (
     Target,
     is_closed_by_forwarder,
@@ -53,7 +52,7 @@
         wait_until_reusable = connection.wait_until_reusable
 
         async def send_in_pause() -> None:
-            connection.reusable_at_s = loop.time() + REUSE_PAUSE_S
+            connection.reusable_at_s = loop.time() + REUSE_PAUSE_US / 1e6
             send_if_open(first_socket, surplus)
             await wait_until_reusable()
 
--- a/tests/forwarder/test_surplus_input.py
+++ b/tests/forwarder/test_surplus_input.py
@@ -16,7 +16,7 @@
 import pytest
 
 from rainfall.dispatch import AttemptFinished, Outcome
-from rainfall.forwarder.outbound.connection import REUSE_PAUSE_US
+from rainfall.forwarder.http1 import REUSE_PAUSE_US
 from rainfall.forwarder.outbound.connection_pool import (
     EndpointConnection,
     OutboundCall,
