Take no copy of a batch's response for a single call's 200

Cause: a single call's 200 counts whatever its body is, so a second copy of the batch's response before it on the connection, read after the call was written, counted as its delivery.

Change: a connection keeps a hash of its last batch response's body; the same body for a single call is that response again, as it names the batch's messages. The attempt may have run, and the connection is closed.

--- a/rainfall/forwarder/outbound/connection.py
+++ b/rainfall/forwarder/outbound/connection.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
 from rainfall.dispatch import AttemptFinished, Outcome
@@ -152,6 +153,8 @@
         """When the connection became idle; NEVER_IDLE if it is not idle."""
         self.reusable_at_us = 0
         """When the pause after the last response ends; 0 before the first one."""
+        self.batch_body_hash: int | None = None
+        """Hash of the body of the last response, if that was a batch's; else None."""
         self.call_started_us = 0
         """When the last call was written."""
         self.idle_age_us = NEVER_IDLE
@@ -249,9 +252,7 @@
             self.close()
             return
         if self._precedes_call():
-            self._release_call(call)
-            self.abort_call()
-            self.pool.on_foreign_input(call)
+            self._end_by_foreign_input(call)
             return
         try:
             self.reader.feed(data)
@@ -263,7 +264,9 @@
             self.abort_call()
             self.pool.on_response(call, self.reader, broken=True)
             return
-        if self.reader.complete:
+        if self._repeats_batch_response(call):
+            self._end_by_foreign_input(call)
+        elif self.reader.complete:
             self._finish_call(call)
         elif self.reader.response_started:
             self.pool.on_response_started(call)
@@ -282,6 +285,24 @@
             and unacknowledged_bytes(self.transport) > 0
         )
 
+    def _repeats_batch_response(self, call: OutboundCall) -> bool:
+        """Whether a call with one message received the last batch's response again.
+
+        The body of that response names the batch's messages, so no other call has it.
+        """
+        return (
+            self.batch_body_hash is not None
+            and not call.batched
+            and self.reader.complete
+            and hash(self.reader.body) == self.batch_body_hash
+        )
+
+    def _end_by_foreign_input(self, call: OutboundCall) -> None:
+        """Close the connection, and end its call without a response."""
+        self._release_call(call)
+        self.abort_call()
+        self.pool.on_foreign_input(call)
+
     def _release_call(self, call: OutboundCall) -> None:
         self.call = None
         call.connection = None
@@ -289,6 +310,8 @@
     def _finish_call(self, call: OutboundCall) -> None:
         self.pool.record_staleness(self.idle_age_us, False)
         self.reusable_at_us = self.pool.clock() + REUSE_PAUSE_US
+        is_batch_response = call.batched and self.reader.status == HTTPStatus.OK
+        self.batch_body_hash = hash(self.reader.body) if is_batch_response else None
         self._release_call(call)
         self.pool.on_response(call, self.reader)
         # If the endpoint answered before the request was complete, the rest must not be
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -572,7 +572,7 @@
         The call may have been executed all the same, if it was completely written.
         """
         self._cancel_timer(call)
-        self.log_malformed_response(call, "input before the request had arrived")
+        self.log_malformed_response(call, "input that belongs to an earlier call")
         outcome = Outcome.UNREADABLE if call.written else Outcome.NO_CONNECTION
         self.finish(call, AttemptResult(outcome, weak_evidence=True))
 
--- a/tests/forwarder/test_surplus_input.py
+++ b/tests/forwarder/test_surplus_input.py
@@ -247,6 +247,30 @@
     play(scene)
 
 
+def test_copy_of_a_batch_response_does_not_answer_the_next_single_call(
+    target: Target,
+) -> None:
+    async def scene() -> None:
+        scenario = PoolScenario(target)
+        _call, endpoint_socket = await scenario.start_call("a", "b")
+        copy = batch_response(a="accepted", b="accepted")
+        endpoint_socket.sendall(copy)
+        await until(lambda: scenario.pool.idle.get(1))
+        scenario.only_connection().reusable_at_us = 0
+        scenario.finished_attempts.clear()
+        scenario.pool.start(scenario.call("c"))
+        await until(lambda: readable(endpoint_socket))
+        read_request(endpoint_socket)
+        endpoint_socket.sendall(copy)
+        await until(lambda: scenario.finished_attempts)
+        assert scenario.outcomes() == [Outcome.UNREADABLE]
+        assert not scenario.finished_attempts[0].message_closed
+        await until(lambda: not scenario.pool.connections)
+        scenario.assert_all_finished()
+
+    play(scene)
+
+
 def test_response_is_acknowledged_before_its_connection_is_idle(target: Target) -> None:
     """Guards against a surplus that the endpoint's machine holds back until the next call
     acknowledges the response before it: an endpoint without TCP_NODELAY.
