Add a known red test: a wait that lies unread after a hold-up is not heeded

Cause: a call's limits are checked against the waits that were read. After a hold-up the next turn writes calls before it reads the answers that came meanwhile, so a call can leave 0.15 s after an answer with a wait was written; PROTOCOL lets 0.1 s through.

--- a/tests/forwarder/test_send_delays.py
+++ b/tests/forwarder/test_send_delays.py
@@ -21,6 +21,14 @@
     ConnectionPool,
     OutboundCall,
 )
+from tests.forwarder.test_call_races import (
+    FULL,
+    PoolScenario,
+    Target,
+    readable,
+    until,
+    wait_readable,
+)
 from tests.support.loopback_peers import OK, PATIENCE, Peer, answer_in_turn
 
 MS = 1_000
@@ -121,3 +129,29 @@
             assert times[0] > 0, "a retry in time, and not held up, is sent"
 
     asyncio.run(run())
+
+
+def test_wait_that_lies_unread_after_a_hold_up_binds_the_next_call() -> None:
+    """Guards against a call that leaves after a hold-up although the answer with the wait
+    has been at the forwarder's socket since.
+    """
+
+    async def run() -> None:
+        target = Target()
+        scenario = PoolScenario(target)
+        (rested_socket,) = await scenario.open_idle_connections()
+        (rested_connection,) = scenario.pool.idle.pop(1)
+        _call, endpoint_socket = await scenario.start_call("a")
+        scenario.pool.idle[1] = [rested_connection]
+        connections = scenario.pool.connections - {rested_connection}
+        endpoint_socket.sendall(FULL)
+        for connection in connections:
+            wait_readable(connection)  # the loop is held up meanwhile
+        scenario.pool.start(scenario.call("b"))
+        await until(lambda: scenario.finished_attempts)
+        was_written = readable(rested_socket)
+        scenario.pool.close()
+        target.close()
+        assert not was_written
+
+    asyncio.run(run())
