Review case 6: with slow discovery messages go to another destination

Cause: a poll of the list that is not held is given up after 0.2 s (0.6 s where lists are asked for) and every poll after a failure is of that kind, so that a discovery that answers 0.7 s late is never heard again. Once the address of a removed endpoint is used by another destination, messages are sent there.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -110,10 +110,17 @@
         self.name, self.block, self.kind, self.zone = name, block, kind, zone
         self.record, self.calls, self.behave = record, calls, behave
         self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Accept no more connections, and end those that are open."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
 
     def entry(self, health: str = "up") -> dict[str, Any]:
         return {
@@ -130,12 +137,14 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.writers.add(writer)
         try:
             while await self.serve_call(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve_call(
@@ -192,6 +201,8 @@
         self.notices: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.down = False
         """Discovery is down: the agent is silent, but still takes notices."""
+        self.slow_s = 0.0
+        """Discovery is slow: each answer with a list comes so much later."""
         self.port = 0
 
     async def start(self) -> None:
@@ -227,7 +238,10 @@
                     continue
                 while self.down:
                     await asyncio.sleep(0.02)
+                slow_s = self.slow_s
                 answer = await self.list_answer(path.partition("?")[2])
+                await asyncio.sleep(slow_s)
+                self.record(f"discovery: answers {path} with version {answer['seq']}")
                 writer.write(response(200, json.dumps(answer).encode()))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
