--- a/review/standins2.py
+++ b/review/standins2.py
@@ -185,7 +185,7 @@
             return False
         writer.write(answer)
         call.answer, call.over_at = answer.partition(b"\r\n")[0], now()
-        self.record(f"{self.name}: {call.answer.decode()} to {names}")
+        self.record(f"{self.name}: {call.answer!r} to {names}")
         return True
 
 
