--- a/review/standins2.py
+++ b/review/standins2.py
@@ -592,22 +592,29 @@
     """Play a case and exit with 1 if a rule was broken, 0 if not, 2 if it cannot run.
 
     The case gets an empty folder, the record and whether the disruption is played, and
-    returns a line for each broken rule.
+    returns a line for each broken rule. The record is written to the file that the first
+    argument names. Only a rule that was judged gives 1: any failure of the case itself,
+    and a signal that ends it, gives 2.
     """
-    record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
+    record = Record(Path(sys.argv[1]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     record(f"disruption: {'played' if trouble else 'left out'}")
 
     async def play() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(RUN_LIMIT_S):
             return await case(folder, record, trouble)
 
     try:
         broken = asyncio.run(play())
-    except (CannotRunError, OSError, TimeoutError) as error:
-        record(f"cannot run: {error or type(error).__name__}")
-        print(f"cannot run: {error or type(error).__name__}", file=sys.stderr)
+    except (Exception, asyncio.CancelledError) as error:
+        record(f"cannot run: {error!r}")
+        print(f"cannot run: {error!r}", file=sys.stderr)
         sys.exit(CANNOT_RUN)
     finally:
         shutil.rmtree(folder, ignore_errors=True)
