--- a/tests/forwarder/test_fleet_member.py
+++ b/tests/forwarder/test_fleet_member.py
@@ -648,7 +648,7 @@
 
 OFF = """
 import asyncio, json, sys, urllib.request
-from rainfall.__main__ import serve
+from rainfall.forwarder.process import serve
 from rainfall.forwarder.config.loading import load_config
 from rainfall.forwarder.config.validation import validate_replacement
 
--- a/tests/forwarder/test_handover_races.py
+++ b/tests/forwarder/test_handover_races.py
@@ -16,7 +16,6 @@
 
 import pytest
 
-from rainfall.__main__ import serve
 from rainfall.forwarder.config.loading import (
     Address,
     Config,
@@ -29,6 +28,7 @@
 from rainfall.forwarder.handover.target import HandoverTarget
 from rainfall.forwarder.message_store import AcceptedMessage, MessageStore
 from rainfall.forwarder.outbound.connection_pool import ConnectionPool
+from rainfall.forwarder.process import serve
 from rainfall.wirehost import parse_settings
 from tests.forwarder.test_handover_protocol import SourceEngine, connect_target, until
 from tests.forwarder.test_operations import settings_with_classes
@@ -634,8 +634,8 @@
         instances: list[StubEngine] = []
 
     Recorded.restarts = restarts
-    monkeypatch.setattr("rainfall.__main__.Engine", Recorded)
-    monkeypatch.setattr("rainfall.__main__.claim_journal", claim_journal)
+    monkeypatch.setattr("rainfall.forwarder.process.Engine", Recorded)
+    monkeypatch.setattr("rainfall.forwarder.process.claim_journal", claim_journal)
     return Recorded
 
 
