Limit the memory of all clients' requests, and the work of a connection's turn

What callers saw: with hundreds of clients that wrote slowly, stopped half way through a large request or sent heads of many short fields, the process passed its memory limit or ended by SIGSEGV, and sound clients' connections were reset.

Cause (class: what is held for clients was limited for each connection by the bytes on the wire, neither by what it costs in memory nor over all connections): on_header kept every field in a dictionary and counted names and values only (16 KiB of them cost about 1 MB); a queue of 64 requests a connection was filled from reads of 256 KiB; bodies of 64 KiB a connection and 64 KiB of unread responses had no common limit; a closed connection waited for the collector for 2 s. The limit of held messages took the memory of connections and requests as free.

Change: request_reader.py keeps the headers that the forwarder reads and counts 32 bytes more for each field (RFC 9113, 6.5.2); connections share a read buffer, read 4 KiB at a time between bodies, and leave input unparsed or unread while eight requests or 32 KiB wait, so that no pipelined request is answered 400 any more; a turn processes eight requests at most; a client that does not read its responses gets no further request processed and is aborted after 2 s. input_budget.py sums up what all requests occupy: above the limit, incomplete requests are answered 503, the oldest first, then those that wait. message_limits.py divides memory_mb between process, connections, requests and messages. The collector runs after 256 ended connections, too. New: a line on memory, requests and closed clients beside the summary, a warning when requests are rejected for the limit, and memory and clients in /_vars.

Tests: test_memory_for_held_messages_follows_memory_limit asserted that messages alone may use 80% of all above 24 MB; it now asserts 80% of what connections and requests leave, and a second test that the parts stay within the limit. MAX_UNREAD_BYTES moved with its test's bound, 64 times stricter. Recorded metrics and names: the new keys were added, none was changed.

--- a/rainfall/forwarder/engine/engine.py
+++ b/rainfall/forwarder/engine/engine.py
@@ -44,6 +44,7 @@
 from rainfall.forwarder.engine.event_queue import EventQueue
 from rainfall.forwarder.engine.handover_pause import HandoverPause
 from rainfall.forwarder.engine.intake import Intake
+from rainfall.forwarder.engine.message_limits import input_memory_bytes
 from rainfall.forwarder.engine.operations import Operations
 from rainfall.forwarder.engine.outcome_recorder import OutcomeRecorder
 from rainfall.forwarder.engine.ownership import OwnershipTransfer
@@ -219,6 +220,7 @@
             events=self.events,
             outcomes=self.outcomes,
             restoration=self.restoration,
+            max_connections=lambda: self.server.max_connections,
         )
 
     def _create_fleet_member(self, config: Config) -> None:
@@ -337,6 +339,7 @@
             clock=self.clock,
             store=self.store,
             dispatcher=self.dispatcher,
+            server=self.server,
             pool=self.pool,
             metrics=self.metrics,
             handover_source=self.handover_source,
@@ -394,7 +397,7 @@
             run_round=self.run_round,
         )
 
-    # Called by the program (`rainfall.__main__`)
+    # Called by the program (`rainfall.forwarder.process`)
 
     async def run(self) -> bool:
         """Serve until stopped; return whether a new engine must start from the journal."""
@@ -446,8 +449,9 @@
         self.operations.acknowledge_notifications(ids)
 
     def allocate_sockets(self, sockets: int) -> None:
-        """Divide a number of file descriptors between endpoints and clients."""
+        """Divide descriptors between endpoints and clients, and limit clients' memory."""
         allocate_sockets(sockets, self.pool, self.server)
+        self.server.input_budget.limit_bytes = input_memory_bytes(self.config.memory_mb)
 
     # Called by the operators' interface (`rainfall.forwarder.admin`)
 
--- a/rainfall/forwarder/engine/intake.py
+++ b/rainfall/forwarder/engine/intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from http import HTTPStatus
 
 from rainfall.dispatch import (
@@ -25,7 +26,11 @@
     trace_log,
 )
 from rainfall.forwarder.engine.event_queue import EventQueue
-from rainfall.forwarder.engine.message_limits import CapacityLimit, has_memory
+from rainfall.forwarder.engine.message_limits import (
+    CapacityLimit,
+    has_memory,
+    message_memory_bytes,
+)
 from rainfall.forwarder.engine.outcome_recorder import OutcomeRecorder
 from rainfall.forwarder.engine.restoration import Restoration
 from rainfall.forwarder.handover.source import HandoverSource
@@ -49,13 +54,18 @@
         events: EventQueue,
         outcomes: OutcomeRecorder,
         restoration: Restoration,
+        max_connections: Callable[[], int],
     ) -> None:
+        self.max_connections = max_connections
+        """Returns the maximum number of client connections."""
         self.state, self.clock, self.store = state, clock, store
         self.metrics, self.handover_source = metrics, handover_source
         self.directory, self.events = directory, events
         self.outcomes, self.restoration = outcomes, restoration
         self.pending_submissions: dict[str, Submission] = {}
         """Submissions for the next round, by message id."""
+        self.pending_body_bytes = 0
+        """Size of the bodies of `pending_submissions`."""
         self.unacknowledged: set[str] = set()
         """Ids of accepted messages whose journal record is not committed yet."""
         self.withdrawing: set[str] = set()
@@ -104,7 +114,7 @@
 
     def admit(self, submitted: SubmittedMessage, writer: ResponseWriter) -> None:
         """Queue a message for the next round."""
-        self.pending_submissions[submitted.id] = Submission(submitted, writer)
+        self._add_pending(Submission(submitted, writer))
         writer.on_disconnect = lambda: self.withdraw(submitted.id)
         self.events.post(
             MessageReceived(
@@ -165,14 +175,13 @@
         The limits apply to new messages only; no accepted message is ever dropped.
         """
         message_count = len(self.store.messages) + len(self.pending_submissions)
-        extra_bytes = len(submitted.body) + sum(
-            len(other.message.body) for other in self.pending_submissions.values()
-        )
+        extra_bytes = len(submitted.body) + self.pending_body_bytes
         config = self.state.config
         if message_count >= config.settings.max_open_messages:
             return CapacityLimit.MESSAGES
+        memory = message_memory_bytes(config.memory_mb, self.max_connections())
         if not has_memory(
-            config.memory_mb, message_count + 1, self.store.live_bytes + extra_bytes
+            memory, message_count + 1, self.store.live_bytes + extra_bytes
         ):
             return CapacityLimit.MEMORY
         return None if self.store.has_capacity(extra_bytes) else CapacityLimit.DISK
@@ -180,18 +189,31 @@
     def take_undecided(self) -> dict[str, Submission]:
         """Remove and return all submissions, for the round that starts."""
         undecided, self.pending_submissions = self.pending_submissions, {}
+        self.pending_body_bytes = 0
         return undecided
 
+    def _add_pending(self, submission: Submission) -> None:
+        self.pending_submissions[submission.message.id] = submission
+        self.pending_body_bytes += len(submission.message.body)
+
+    def _remove_pending(self, message_id: str) -> bool:
+        """Remove a submission; return whether there was one."""
+        submission = self.pending_submissions.pop(message_id, None)
+        if submission is None:
+            return False
+        self.pending_body_bytes -= len(submission.message.body)
+        return True
+
     def requeue(self, submission: Submission) -> None:
         """Put back a submission that a round took but did not handle."""
-        self.pending_submissions[submission.message.id] = submission
+        self._add_pending(submission)
 
     def withdraw(self, message_id: str) -> None:
         """Withdraw a message whose client disconnected before the response.
 
         The client may submit it to another forwarder, so this one must not deliver it.
         """
-        if self.pending_submissions.pop(message_id, None) is not None:
+        if self._remove_pending(message_id):
             self.events.post(MessageWithdrawn(message_id))
         if message_id in self.unacknowledged:
             # Its record may be written and wait for a sync. Journaling the end now keeps
--- a/rainfall/forwarder/engine/operations.py
+++ b/rainfall/forwarder/engine/operations.py
@@ -20,6 +20,8 @@
 from rainfall.forwarder.engine.event_queue import EventQueue
 from rainfall.forwarder.engine.handover_pause import HandoverPause
 from rainfall.forwarder.handover.source import HandoverSource
+from rainfall.forwarder.inbound.server import InboundServer
+from rainfall.forwarder.memory_usage import read_memory_usage
 from rainfall.forwarder.message_store import MessageStore, PendingNotification
 from rainfall.forwarder.outbound.connection_pool import ConnectionPool
 
@@ -34,6 +36,7 @@
         clock: Clock,
         store: MessageStore,
         dispatcher: Dispatcher,
+        server: InboundServer,
         pool: ConnectionPool,
         metrics: Metrics,
         handover_source: HandoverSource,
@@ -43,7 +46,8 @@
         run_round: Callable[[], None],
     ) -> None:
         self.state, self.clock, self.store = state, clock, store
-        self.dispatcher, self.pool, self.metrics = dispatcher, pool, metrics
+        self.dispatcher, self.metrics = dispatcher, metrics
+        self.server, self.pool = server, pool
         self.handover_source, self.directory = handover_source, directory
         self.events, self.pause, self.run_round = events, pause, run_round
 
@@ -65,9 +69,23 @@
             "cfg_accepted": metrics.configs_accepted,
             "cfg_invalid": metrics.configs_rejected,
             "journal": self.store.metrics(),
+            "memory": read_memory_usage()._asdict(),
+            "clients": self.client_metrics(),
             **fleet,
         }
 
+    def client_metrics(self) -> dict[str, Any]:
+        """Return what clients occupy, and why their connections were closed."""
+        budget, statistics = self.server.input_budget, self.server.statistics
+        return {
+            "connections": len(self.server.connections),
+            "connections_limit": self.server.max_connections,
+            "request_bytes": budget.held_bytes,
+            "request_bytes_peak": budget.peak_bytes,
+            "request_bytes_limit": budget.limit_bytes,
+            "closed": statistics.report(),
+        }
+
     def set_detached(
         self, endpoint: str, detached: bool, answer: AdminResponder
     ) -> None:
--- a/rainfall/forwarder/engine/periodic_tasks.py
+++ b/rainfall/forwarder/engine/periodic_tasks.py
@@ -24,6 +24,7 @@
 from rainfall.forwarder.engine.event_queue import EventQueue
 from rainfall.forwarder.engine.restoration import Restoration
 from rainfall.forwarder.inbound.server import InboundServer
+from rainfall.forwarder.memory_usage import read_memory_usage
 from rainfall.forwarder.message_store import (
     AcceptedMessage,
     MessageStore,
@@ -36,6 +37,8 @@
 """A longer delay of the event loop is logged."""
 LOOP_LAG_LOG_INTERVAL_S = 10.0
 """Minimum time between two log lines about the event loop's delay."""
+REJECTION_LOG_INTERVAL_S = 5.0
+"""Minimum time between two log lines about client requests that exceed their memory."""
 SUMMARY_INTERVAL_S = 5.0
 """Time between two summary lines."""
 COLLECTION_INTERVAL_S = 2.0
@@ -43,6 +46,10 @@
 
 They skip the objects created at the start, which are frozen (`gc.freeze`).
 """
+COLLECTION_CONNECTIONS = 256
+"""Client connections that have ended since the last collection, at which the next one
+runs without waiting for COLLECTION_INTERVAL_S: each leaves a reference cycle of asyncio.
+"""
 FULL_COLLECTION_MESSAGES = 10_000
 """Open messages up to which a full collection takes about 10 ms."""
 FULL_COLLECTION_GENERATION = 2
@@ -83,7 +90,12 @@
         self.run_round = run_round
         self.last_lag_log_s = -LOOP_LAG_LOG_INTERVAL_S
         self.last_collection_s = 0.0
+        self.ended_at_collection = 0
+        """Client connections that had ended by the last collection."""
         self.last_summary_s = started_s
+        self.last_rejection_log_s = -REJECTION_LOG_INTERVAL_S
+        self.logged_rejections = 0
+        """Rejected requests that the log has told of."""
 
     def tick(self, due_s: float) -> None:
         """Run the tasks that are due, and reschedule after TICK_INTERVAL_S.
@@ -97,14 +109,17 @@
         if self.state.closed:
             return
         self.check_loop_lag(now_s, now_s - due_s)
-        if now_s - self.last_collection_s >= COLLECTION_INTERVAL_S:
+        if self.is_collection_due(now_s):
             # asyncio's transports are reference cycles. With many short connections,
             # hundreds of closed transports would wait for Python's rare full
             # collection, and memory would grow for minutes.
             self.last_collection_s = now_s
+            self.ended_at_collection = self.server.statistics.ended_connections
             self.collect_garbage()
+        self.warn_of_rejected_requests(now_s)
         if now_s - self.last_summary_s >= SUMMARY_INTERVAL_S:
             self.log_summary(now_s)
+            self.log_memory()
         self.store.log.retry_after_failure()
         if self.state.fleet is not None and not self.state.paused_for_handover:
             self.state.fleet.tick()
@@ -127,6 +142,14 @@
             self.last_lag_log_s = now_s
             log.warning("event loop blocked for %d ms", lag_s * MS_PER_SECOND)
 
+    def is_collection_due(self, now_s: float) -> bool:
+        """Return whether to collect garbage now."""
+        ended = self.server.statistics.ended_connections - self.ended_at_collection
+        return (
+            now_s - self.last_collection_s >= COLLECTION_INTERVAL_S
+            or ended >= COLLECTION_CONNECTIONS
+        )
+
     def collect_garbage(self) -> None:
         """Run a full garbage collection, or a partial one if many messages are open.
 
@@ -216,6 +239,39 @@
         self.last_summary_s = now_s
         self.state.event_counts.clear()
 
+    def log_memory(self) -> None:
+        """Log the process's memory, and what clients occupied since the last line.
+
+        Client connections that were closed since then are counted by reason.
+        """
+        usage = read_memory_usage()
+        budget = self.server.input_budget
+        closed = self.server.statistics.take_recent_closes()
+        log.info(
+            "memory %d kB, peak %d kB; client requests up to %d of %d kB; "
+            "clients closed: %s",
+            usage.resident_kb,
+            usage.peak_kb,
+            budget.take_recent_peak_bytes() // BYTES_PER_KB,
+            budget.limit_bytes // BYTES_PER_KB,
+            ", ".join(f"{count} {reason}" for reason, count in sorted(closed.items()))
+            or "none",
+        )
+
+    def warn_of_rejected_requests(self, now_s: float) -> None:
+        """Log that client requests exceed their memory, at most once per interval."""
+        budget = self.server.input_budget
+        rejected = budget.rejected_requests - self.logged_rejections
+        if rejected and now_s - self.last_rejection_log_s >= REJECTION_LOG_INTERVAL_S:
+            self.last_rejection_log_s = now_s
+            self.logged_rejections = budget.rejected_requests
+            log.warning(
+                "client requests exceed %d kB: %d answered 503, process at %d kB",
+                budget.limit_bytes // BYTES_PER_KB,
+                rejected,
+                read_memory_usage().resident_kb,
+            )
+
     def describe_event_counts(self) -> str:
         """Describe the events since the last summary, e.g. "3 taken, 1 returned"."""
         counts = sorted(self.state.event_counts.items())
--- a/rainfall/forwarder/inbound/connection_registry.py
+++ b/rainfall/forwarder/inbound/connection_registry.py
@@ -6,7 +6,10 @@
 import socket
 from collections.abc import Callable
 
-from rainfall.forwarder.inbound.client_connection import ClientConnection
+from rainfall.forwarder.http1 import MAX_BODY_BYTES
+from rainfall.forwarder.inbound.client_connection import READ_BYTES, ClientConnection
+from rainfall.forwarder.inbound.client_statistics import ClientStatistics
+from rainfall.forwarder.inbound.input_budget import InputBudget
 from rainfall.forwarder.inbound.requests import Request
 
 FIRST_REQUEST_GRACE_US = 300_000
@@ -23,6 +26,8 @@
 """
 CLOSE_STEP_S = CLOSE_GRACE_S / 20
 """Interval at which the remaining connections are checked when the process ends."""
+DEFAULT_INPUT_BYTES = 16_000_000
+"""Limit of the memory of all clients' requests, until the engine sets it."""
 
 
 class ConnectionRegistry:
@@ -38,6 +43,14 @@
 
     def __init__(self) -> None:
         self.connections: set[ClientConnection] = set()
+        self.read_buffer = memoryview(bytearray(READ_BYTES + MAX_BODY_BYTES))
+        """Receives the input of all connections; each one's is copied before the next
+        read.
+        """
+        self.input_budget = InputBudget(DEFAULT_INPUT_BYTES)
+        """Limits the memory of the requests of all connections."""
+        self.statistics = ClientStatistics()
+        """Counts why connections are closed."""
         self.draining = False
         """The process shuts down: readiness checks fail, and each connection is closed
         after its next response.
--- a/rainfall/forwarder/inbound/server.py
+++ b/rainfall/forwarder/inbound/server.py
@@ -12,6 +12,7 @@
 
 from rainfall.dispatch import Settings
 from rainfall.forwarder.inbound.client_connection import ClientConnection
+from rainfall.forwarder.inbound.client_statistics import CloseReason
 from rainfall.forwarder.inbound.connection_registry import ConnectionRegistry
 from rainfall.forwarder.inbound.messages import (
     ResponseWriter,
@@ -66,10 +67,6 @@
 """Time between shutting down a connection's sending side and closing the connection, in
 which the client can read the last response.
 """
-MAX_UNREAD_BYTES = 64 * 1024
-"""Response bytes that a client has not read, above which its connection is aborted. A
-client that waits for each response leaves few unread.
-"""
 BIND_ATTEMPTS = 100
 BIND_RETRY_S = 0.05
 """Delay between two attempts to bind the address."""
@@ -231,6 +228,7 @@
         if len(self.connections) <= self.max_connections:
             return
         evicted = self._choose_evicted(connection)
+        self.statistics.count_close(CloseReason.EVICTED)
         evicted.abort()
         # The descriptor is closed in the next loop iteration. If the connection were
         # counted until then, it would be chosen again for each further connection of
@@ -317,12 +315,7 @@
             elif connection.is_idle():
                 self._sweep_idle(connection, now, idle_us)
             elif self.is_stalled(connection, now):
-                connection.discarding_input = True
-                connection.incomplete_request = None
-                connection.active_request = Request(now, keep_alive=False)
-                connection.answer(
-                    HTTPStatus.REQUEST_TIMEOUT, "the request did not come to its end"
-                )
+                connection.answer_stalled(now)
         asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self.sweep)
 
     def _sweep_idle(self, connection: ClientConnection, now: int, idle_us: int) -> None:
@@ -332,6 +325,9 @@
             is_expired = now - connection.connected_at_us >= SILENT_CONNECTION_US
         if not is_expired:
             return
+        self.statistics.count_close(
+            CloseReason.IDLE if connection.request_count else CloseReason.SILENT
+        )
         if connection.is_open():
             connection.close()
         else:
@@ -349,15 +345,8 @@
 
     def handle_request(self, connection: ClientConnection, request: Request) -> None:
         """Reject a request, answer a readiness check, or submit a message."""
-        if (
-            connection.transport is not None
-            and connection.transport.get_write_buffer_size() > MAX_UNREAD_BYTES
-        ):
-            # The client sends requests without reading the responses, which would fill
-            # the memory.
-            connection.abort()
-        elif request.error is not None:
-            connection.answer(request.error.status, request.error.text)
+        if request.error is not None:
+            self._reject(connection, request.error)
         elif request.path.partition("?")[0] == "/up":
             self._answer_readiness(connection, request)
         else:
@@ -373,6 +362,11 @@
         else:
             connection.answer(HTTPStatus.OK, "up")
 
+    def _reject(self, connection: ClientConnection, error: BadRequestError) -> None:
+        if connection.discarding_input and error.retry_after_s is None:
+            self.statistics.count_close(CloseReason.MALFORMED)
+        connection.answer(error.status, error.text, **error.response_headers())
+
     def _submit_message(self, connection: ClientConnection, request: Request) -> None:
         try:
             submitted = parse_message(request, self.settings)
@@ -382,4 +376,5 @@
                 headers["Allow"] = "POST"
             connection.answer(error.status, error.text, **headers)
             return
+        request.discard_content()
         self.submit(submitted, connection)
--- a/tests/forwarder/test_bad_clients.py
+++ b/tests/forwarder/test_bad_clients.py
@@ -19,9 +19,11 @@
 import pytest
 
 from rainfall.forwarder.inbound import server as inbound_server
-from rainfall.forwarder.inbound.client_connection import ClientConnection
-from rainfall.forwarder.inbound.server import (
+from rainfall.forwarder.inbound.client_connection import (
     MAX_UNREAD_BYTES,
+    ClientConnection,
+)
+from rainfall.forwarder.inbound.server import (
     InboundServer,
     ResponseWriter,
     SubmittedMessage,
