Send no request on whose client has left with input unread

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards; where it sent them elsewhere too, they ran twice.

Cause: the event loop reports the end of a client's input only once all input before it is read. While requests wait in the queue, or reading is paused, the forwarder did not know that the client had gone, and submitted one request after the other.

Change: before a message is submitted, and before a round or a transfer takes the waiting ones of connections whose reading is paused, the socket is asked whether its peer has ended its sending side (POLLRDHUP, which does not wait for the input before it). If so, all complete requests are answered 503 and withdrawn; departed in /_vars counts them. If nothing but the end is unread, the last 503 says Connection: close as before.

--- a/rainfall/forwarder/engine/engine.py
+++ b/rainfall/forwarder/engine/engine.py
@@ -281,6 +281,7 @@
             clock=self.clock,
             store=self.store,
             dispatcher=self.dispatcher,
+            server=self.server,
             events=self.events,
             outcomes=self.outcomes,
             intake=self.intake,
--- a/rainfall/forwarder/engine/operations.py
+++ b/rainfall/forwarder/engine/operations.py
@@ -83,6 +83,7 @@
             "request_bytes": budget.held_bytes,
             "request_bytes_peak": budget.peak_bytes,
             "request_bytes_limit": budget.limit_bytes,
+            "departed": statistics.departed,
             "closed": statistics.report(),
         }
 
--- a/rainfall/forwarder/engine/ownership.py
+++ b/rainfall/forwarder/engine/ownership.py
@@ -54,6 +54,7 @@
         client connections. Queued outcomes and submissions are forwarded.
         """
         assert self.journal_lock is not None
+        self.server.reject_departed()
         self.server.hand_over()
         self.store.release()
         self.journal_lock.release()
--- a/rainfall/forwarder/engine/rounds.py
+++ b/rainfall/forwarder/engine/rounds.py
@@ -30,6 +30,7 @@
 from rainfall.forwarder.engine.intake import Intake
 from rainfall.forwarder.engine.outcome_recorder import OutcomeRecorder
 from rainfall.forwarder.engine.round_completion import RoundCompletion
+from rainfall.forwarder.inbound.server import InboundServer
 from rainfall.forwarder.message_store import MessageStore
 
 
@@ -43,6 +44,7 @@
         clock: Clock,
         store: MessageStore,
         dispatcher: Dispatcher,
+        server: InboundServer,
         events: EventQueue,
         outcomes: OutcomeRecorder,
         intake: Intake,
@@ -52,6 +54,7 @@
         self.state, self.clock, self.store = state, clock, store
         self.dispatcher, self.events, self.outcomes = dispatcher, events, outcomes
         self.intake, self.actions, self.completion = intake, actions, completion
+        self.server = server
         self.last_fault_log_us = -LOG_INTERVAL_US
 
     def run_round(self) -> None:
@@ -59,6 +62,7 @@
 
         Does nothing after the last round or during a handover pause.
         """
+        self.server.reject_departed()
         self.events.clear_schedule()
         if self.state.frozen or self.state.paused_for_handover:
             return
--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -19,7 +19,11 @@
 from rainfall.forwarder.inbound.input_budget import InputBudget
 from rainfall.forwarder.inbound.request_reader import RequestReader
 from rainfall.forwarder.inbound.requests import BadRequestError, Request
-from rainfall.forwarder.socket_state import has_unread_input
+from rainfall.forwarder.socket_state import (
+    has_unread_input,
+    peer_has_closed,
+    unread_bytes,
+)
 
 __all__ = ["BadRequestError", "ClientConnection", "Request"]
 READ_BYTES = 4 * 1024
@@ -49,6 +53,8 @@
     """The dispatcher's clock, in microseconds."""
     connections: set[ClientConnection]
     """All open connections."""
+    paused_connections: set[ClientConnection]
+    """Open connections whose reading is paused."""
     draining: bool
     """The process shuts down."""
     handed_over: bool
@@ -161,6 +167,7 @@
         """Withdraw the requests without a response (called by the event loop)."""
         del error
         self.server.connections.discard(self)
+        self.server.paused_connections.discard(self)
         self.server.statistics.ended_connections += 1
         self.queued_requests.clear()
         self.unparsed_input = b""
@@ -318,9 +325,11 @@
             if self.has_unread_input():
                 self.arrived_after_us = self.arrived_after_us or self.paused_at_us
             transport.resume_reading()
+            self.server.paused_connections.discard(self)
         else:
             self.paused_at_us = self.server.clock()
             transport.pause_reading()
+            self.server.paused_connections.add(self)
 
     # The memory of the requests (`BufferingConnection`)
 
@@ -395,6 +404,17 @@
             self.active_request = self.queued_requests.popleft()
             self.answer(HTTPStatus.SERVICE_UNAVAILABLE, text, **headers)
 
+    def reject_departed(self) -> None:
+        """Answer 503 to each complete request, because the client has left."""
+        self.server.statistics.departed += 1
+        if (
+            self.transport is not None
+            and not self.unparsed_input
+            and unread_bytes(self.transport) == 0
+        ):
+            self.peer_closed = True
+        self.reject_pending("withdrawn")
+
     def notify_disconnect(self) -> None:
         """Call the active request's `on_disconnect` callback, at most once."""
         callback = self.on_disconnect
@@ -493,6 +513,14 @@
             and has_unread_input(self.transport)
         )
 
+    def has_departed(self) -> bool:
+        """Whether the client has ended its sending side, perhaps behind unread input."""
+        return (
+            self.transport is None
+            or self.transport.is_closing()
+            or peer_has_closed(self.transport)
+        )
+
     def is_open(self) -> bool:
         """Whether the transport is open and not being closed."""
         return self.transport is not None and not self.transport.is_closing()
--- a/rainfall/forwarder/inbound/client_statistics.py
+++ b/rainfall/forwarder/inbound/client_statistics.py
@@ -37,6 +37,8 @@
         """Value of `closed` at the last `take_recent_closes`."""
         self.ended_connections = 0
         """Connections that have ended, whoever closed them."""
+        self.departed = 0
+        """Requests that were rejected because their client had left."""
 
     def count_close(self, reason: CloseReason) -> None:
         """Count a connection that is closed."""
--- a/rainfall/forwarder/inbound/connection_registry.py
+++ b/rainfall/forwarder/inbound/connection_registry.py
@@ -43,6 +43,10 @@
 
     def __init__(self) -> None:
         self.connections: set[ClientConnection] = set()
+        self.paused_connections: set[ClientConnection] = set()
+        """Open connections whose reading is paused: the event loop does not report that
+        their clients leave.
+        """
         self.read_buffer = memoryview(bytearray(READ_BYTES + MAX_BODY_BYTES))
         """Receives the input of all connections; each one's is copied before the next
         read.
--- a/rainfall/forwarder/inbound/server.py
+++ b/rainfall/forwarder/inbound/server.py
@@ -289,6 +289,12 @@
 
         return rank
 
+    def reject_departed(self) -> None:
+        """Reject the requests of clients that left while their input was not read."""
+        for connection in list(self.paused_connections):
+            if connection.has_departed():
+                connection.reject_departed()
+
     def close_later(self, connection: ClientConnection) -> None:
         """Schedule the close, so that the client can read the last response first.
 
@@ -377,4 +383,8 @@
             connection.answer(error.status, error.text, **headers)
             return
         request.discard_content()
+        if connection.has_departed():
+            # The client may submit the message elsewhere, and waits for no response.
+            connection.reject_departed()
+            return
         self.submit(submitted, connection)
--- a/rainfall/forwarder/socket_state.py
+++ b/rainfall/forwarder/socket_state.py
@@ -21,17 +21,41 @@
     return bool(poll.poll(0))
 
 
+def peer_has_closed(transport: asyncio.Transport) -> bool:
+    """Whether the peer has ended its sending side, or the connection is broken.
+
+    True also while input that came before the end is unread (Linux: POLLRDHUP of
+    poll(2)).
+    """
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def unread_bytes(transport: asyncio.Transport) -> int | None:
+    """Return how many received bytes the event loop has not read yet.
+
+    None if the kernel does not say (Linux: FIONREAD of ioctl(2)).
+    """
+    return _socket_figure(transport, termios.FIONREAD)
+
+
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return how many written bytes the peer's machine has not acknowledged yet.
 
     0 if the kernel does not say (Linux: SIOCOUTQ of tcp(7)).
     """
+    return _socket_figure(transport, termios.TIOCOUTQ) or 0
+
+
+def _socket_figure(transport: asyncio.Transport, request: int) -> int | None:
+    """Return the number that an ioctl(2) request reports of a socket; None if it fails."""
     try:
         answer = fcntl.ioctl(
-            transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4)
+            transport.get_extra_info("socket").fileno(), request, bytes(4)
         )
     except OSError:
-        return 0
+        return None
     return int.from_bytes(answer, sys.byteorder)
 
 
