Read at most 16 KiB of a connection at a time

Cause: while 600 clients sent valid messages of 60 kB at once, each turn of the event loop read up to 64 KiB of each, and the small messages of other clients waited for all of them: 8 to 24 of some 300 got no answer within 0.4 s.

Change: the read buffer has 16 KiB.

--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -27,7 +27,7 @@
 
 __all__ = ["BadRequestError", "ClientConnection", "Request"]
 READ_BYTES = 4 * 1024
-"""Maximum size of a read, without the missing part of a body of known length."""
+"""Size of a read beside the missing part of a body of known length."""
 MAX_QUEUED_REQUESTS = 8
 """Queued requests of one connection at which its further input is left unparsed."""
 MAX_QUEUED_BYTES = 32 * 1024
@@ -221,7 +221,7 @@
         del sizehint
         if self.discarding_input:
             return self.server.read_buffer
-        return self.server.read_buffer[: READ_BYTES + self.reader.missing_body_bytes]
+        return self.server.read_buffer[: self._max_read_bytes()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse requests and process the complete ones (called by the event loop)."""
@@ -231,7 +231,7 @@
             self._check_discarded_bytes()
             return
         self.reader.input_arrived_us = self._arrival_time_us()
-        if nbytes < READ_BYTES + self.reader.missing_body_bytes:
+        if nbytes < self._max_read_bytes():
             self.arrived_after_us = 0  # All input is read.
         self.unparsed_input = bytes(self.server.read_buffer[:nbytes])
         self._parse_input()
@@ -239,6 +239,11 @@
 
     # Reading
 
+    def _max_read_bytes(self) -> int:
+        """Return the size of the next read: little more than the request lacks."""
+        missing_bytes = READ_BYTES + self.reader.missing_body_bytes
+        return min(missing_bytes, len(self.server.read_buffer))
+
     def _arrival_time_us(self) -> int:
         """Return the earliest time at which the input just read can have arrived."""
         arrived_us = self.server.arrival_time_us()
--- a/rainfall/forwarder/inbound/connection_registry.py
+++ b/rainfall/forwarder/inbound/connection_registry.py
@@ -6,8 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from rainfall.forwarder.http1 import MAX_BODY_BYTES
-from rainfall.forwarder.inbound.client_connection import READ_BYTES, ClientConnection
+from rainfall.forwarder.inbound.client_connection import ClientConnection
 from rainfall.forwarder.inbound.client_statistics import ClientStatistics
 from rainfall.forwarder.inbound.input_budget import InputBudget
 from rainfall.forwarder.inbound.requests import Request
@@ -26,6 +25,10 @@
 """
 CLOSE_STEP_S = CLOSE_GRACE_S / 20
 """Interval at which the remaining connections are checked when the process ends."""
+READ_BUFFER_BYTES = 16 * 1024
+"""Maximum size of a read: while hundreds of clients send large requests at once, a small
+one waits for a read of each.
+"""
 DEFAULT_INPUT_BYTES = 16_000_000
 """Limit of the memory of all clients' requests, until the engine sets it."""
 
@@ -47,7 +50,7 @@
         """Open connections whose reading is paused: the event loop does not report that
         their clients leave.
         """
-        self.read_buffer = memoryview(bytearray(READ_BYTES + MAX_BODY_BYTES))
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         """Receives the input of all connections; each one's is copied before the next
         read.
         """
