Remember over a restart which messages may have been executed

What callers saw: a delivered payment ran twice when its id came again after the process was killed or restarted; its client had left without its 202.

Cause: the ids of finished messages were kept in memory only (and handed over in an upgrade), so a start knew nothing of them; the engine that starts after a lost handover target neither.

A message that is withdrawn before any call was sent records its attempts as not executed, so that its id is taken on again. Messages failed as overdue are remembered, too.

Recorded checkpoints have the new record; nothing else in them changed but counts and sizes.

--- a/rainfall/forwarder/engine/intake.py
+++ b/rainfall/forwarder/engine/intake.py
@@ -110,6 +110,7 @@
         return (
             message_id in self.store.messages
             or message_id in self.outcomes.recently_finished
+            or message_id in self.store.finished_ids
         )
 
     def admit(self, submitted: SubmittedMessage, writer: ResponseWriter) -> None:
@@ -221,7 +222,7 @@
             self.unacknowledged.discard(message_id)
             self.withdrawing.add(message_id)
             if message_id in self.store.messages:
-                self.store.append_finished(message_id)
+                self.store.append_withdrawn(message_id)
                 self.store.flush()
                 self.events.post(MessageWithdrawn(message_id))
 
@@ -266,7 +267,7 @@
         if submitted.id in self.unacknowledged:
             self.answer_unavailable(submitted, writer, "cannot be kept")
         if submitted.id in self.store.messages:
-            self.store.append_finished(submitted.id)
+            self.store.append_withdrawn(submitted.id)
             self.events.post(MessageWithdrawn(submitted.id))
         if submitted.id in self.store.pending_notifications:
             # The message was rejected or failed during the commit. No notification is
--- a/rainfall/forwarder/engine/outcome_recorder.py
+++ b/rainfall/forwarder/engine/outcome_recorder.py
@@ -94,8 +94,14 @@
             self.recently_finished.popitem(last=False)
 
     def restore_finished(self, message_ids: list[str]) -> None:
-        """Adopt the handover source's recently finished messages."""
-        self.recently_finished = OrderedDict.fromkeys(message_ids)
+        """Adopt recently finished messages, oldest first, after those known already.
+
+        They come from the journal and from the handover source.
+        """
+        for message_id in message_ids:
+            self.recently_finished[message_id] = None
+        while len(self.recently_finished) > MAX_RECENTLY_FINISHED:
+            self.recently_finished.popitem(last=False)
 
     def count_unattempted(
         self, decision: RejectMessage | FailMessage, now: int
--- a/rainfall/forwarder/engine/restoration.py
+++ b/rainfall/forwarder/engine/restoration.py
@@ -76,6 +76,7 @@
             The version of the newest known endpoint list.
         """
         snapshot = self.handover_snapshot()
+        self.outcomes.restore_finished(list(self.store.finished_ids))
         if snapshot is not None:
             self.apply_handover_snapshot(snapshot)
         version = self.restore_endpoints()
--- a/rainfall/forwarder/message_store.py
+++ b/rainfall/forwarder/message_store.py
@@ -20,6 +20,7 @@
 from rainfall.journal.records import EndpointListUpdate, Outage
 from rainfall.journal.recovery import recover, this_boot
 from rainfall.journal.state import (
+    MAX_FINISHED_IDS_BYTES,
     MESSAGE_OVERHEAD_BYTES,
     AcceptedMessage,
     DeliveryRules,
@@ -246,6 +247,18 @@
             self.remove_message(message_id)
             self.log.append(records.encode_finished(message_id))
 
+    def append_withdrawn(self, message_id: str) -> None:
+        """Record the end of a message none of whose attempts was sent.
+
+        Its attempts are recorded as not executed, so that its id is not remembered.
+        """
+        message = self.messages.get(message_id)
+        if message is None:
+            return
+        for number in list(message.in_flight):
+            self.append_outcome(message, number, False)
+        self.append_finished(message_id)
+
     def append_notification(self, message_id: str, state: str, after_ms: int) -> None:
         """Record the end of a message of which the platform must be notified.
 
@@ -360,7 +373,11 @@
 
     def min_compacted_bytes(self) -> int:
         """Return the size of a compacted file, without its small records."""
-        return self.live_bytes + self.list_bytes
+        return self.live_bytes + self.list_bytes + self.checkpoint_ids_bytes()
+
+    def checkpoint_ids_bytes(self) -> int:
+        """Return the size of the ids of finished messages in a compacted file."""
+        return min(self.finished_ids_bytes, MAX_FINISHED_IDS_BYTES)
 
     def has_capacity(self, extra_bytes: int) -> bool:
         """Whether there is disk space for one more message.
@@ -376,6 +393,7 @@
         other_bytes = (
             NOTIFICATION_BYTES * len(self.pending_notifications)
             + self.list_bytes
+            + self.checkpoint_ids_bytes()
             + ENDPOINT_RECORD_BYTES * (len(self.outages) + len(self.detached))
         )
         needed_bytes = 2 * (message_bytes + other_bytes) + RESERVED_BYTES
--- a/rainfall/journal/records.py
+++ b/rainfall/journal/records.py
@@ -61,6 +61,8 @@
     """An operator detached or re-attached an endpoint."""
     OUTAGE = "g"
     """An endpoint's outage, stored so that its slow start continues after a restart."""
+    RECENTLY_FINISHED = "f"
+    """Ids of messages that ended lately and may have been executed, in a checkpoint."""
     CLOCK = "c"
     """A process began to write; holds the base of its clock."""
     CLOSED = "z"
@@ -292,6 +294,12 @@
     return PendingNotification(*fields[1:])
 
 
+def decode_recently_finished(fields: Fields) -> list[str]:
+    """Decode the ids of messages that ended lately, oldest first."""
+    message_ids: list[str] = fields[0]
+    return [str(message_id) for message_id in message_ids]
+
+
 def decode_endpoint_list(fields: Fields) -> EndpointListRecord:
     """Decode a complete endpoint list; older journals do not store its source."""
     hosts = {host["host"]: host for host in fields[1]}
@@ -428,6 +436,11 @@
     return encode_record(_ACKNOWLEDGED_KIND, message_id)
 
 
+def encode_recently_finished(message_ids: list[str]) -> bytes:
+    """Encode the ids of messages that ended lately, oldest first."""
+    return encode_record(RecordKind.RECENTLY_FINISHED.value, message_ids)
+
+
 def encode_list(seq: int, hosts: dict[str, dict[str, Any]], source: str) -> bytes:
     """Encode a complete endpoint list, compressed above `UNCOMPRESSED_LIST_BYTES`.
 
--- a/rainfall/journal/state.py
+++ b/rainfall/journal/state.py
@@ -43,6 +43,12 @@
 
 MAX_LOST_MESSAGES = 10_000
 """Maximum number of lost message ids kept; each takes about 100 bytes of memory."""
+MAX_FINISHED_IDS = 2_048
+"""Ids of finished messages kept, as many as the running process keeps; 100 bytes each."""
+MAX_FINISHED_IDS_BYTES = 16 * 1024
+"""Size of the ids of finished messages that a checkpoint keeps, the newest ones."""
+FINISHED_ID_OVERHEAD_BYTES = 4
+"""Bytes of an id's quotes and separator in the record of finished ids."""
 HOST_RECORD_BYTES = 200
 """Approximate size of an endpoint in the record of a list."""
 log = logging.getLogger("rainfall.store")
@@ -87,6 +93,12 @@
         self.lost_messages: dict[str, None] = {}
         """Ids of messages that records refer to but whose own records are missing."""
         self.damaged = False
+        self.finished_ids: dict[str, None] = {}
+        """Ids of messages that ended lately and may have been executed, oldest first. A
+        submission with one of them is a duplicate, also after a restart.
+        """
+        self.finished_ids_bytes = 0
+        """Size of `finished_ids` in a checkpoint, if all were kept."""
         self.record_readers = self._readers_by_stored_name()
 
     def _readers_by_stored_name(self) -> dict[str, RecordReader]:
@@ -104,6 +116,7 @@
             RecordKind.ENDPOINT_LIST_UPDATE: self._read_list_update,
             RecordKind.DETACHED: self._read_detached,
             RecordKind.OUTAGE: self._read_outage,
+            RecordKind.RECENTLY_FINISHED: self._read_recently_finished,
             RecordKind.CLOCK: self._read_clock,
             RecordKind.CLOSED: self._read_closed,
         }
@@ -257,6 +270,35 @@
         if message is not None:
             self.live_index.remove(message.id, message.destination, message.deadline_us)
             self.live_bytes -= message.size
+            if message.in_flight or message.executed_at_us >= 0:
+                self._add_finished_id(message.id)
+
+    def _add_finished_id(self, message_id: str) -> None:
+        self._remove_finished_id(message_id)
+        self.finished_ids[message_id] = None
+        self.finished_ids_bytes += len(message_id) + FINISHED_ID_OVERHEAD_BYTES
+        if len(self.finished_ids) > MAX_FINISHED_IDS:
+            self._remove_finished_id(next(iter(self.finished_ids)))
+
+    def _remove_finished_id(self, message_id: str) -> None:
+        if message_id in self.finished_ids:
+            del self.finished_ids[message_id]
+            self.finished_ids_bytes -= len(message_id) + FINISHED_ID_OVERHEAD_BYTES
+
+    def _read_recently_finished(self, fields: Fields, _body: bytes) -> None:
+        for message_id in records.decode_recently_finished(fields):
+            self._add_finished_id(message_id)
+
+    def _checkpoint_finished_ids(self) -> list[str]:
+        """Return the newest finished ids that fit into a checkpoint, oldest first."""
+        kept: list[str] = []
+        left_bytes = MAX_FINISHED_IDS_BYTES
+        for message_id in reversed(self.finished_ids):
+            left_bytes -= len(message_id) + FINISHED_ID_OVERHEAD_BYTES
+            if left_bytes < 0:
+                break
+            kept.append(message_id)
+        return kept[::-1]
 
     def _read_pending_notification(self, fields: Fields, _body: bytes) -> None:
         # The message has ended even if the rest of the record has an unknown form.
@@ -370,6 +412,9 @@
             yield records.encode_detached(host, True)
         for host, outage in self.outages.items():
             yield records.encode_outage(host, outage)
+        finished_ids = self._checkpoint_finished_ids()
+        if finished_ids:
+            yield records.encode_recently_finished(finished_ids)
         for message in self.messages.values():
             yield encode_message(message)
         for message_id, end in self.pending_notifications.items():
--- a/tests/compatibility/test_journals.py
+++ b/tests/compatibility/test_journals.py
@@ -76,3 +76,17 @@
         (folder / "journal").write_bytes(journals.spoilt(kept_bytes("journal-2")))
         journals.opened(folder)
         assert names_in(folder) == ["journal", "journal.damaged"]
+
+
+def test_checkpoint_without_finished_ids_is_read_to_the_same_state() -> None:
+    """The form of before finished ids were stored."""
+    states = []
+    for name in ("journal-2-checkpoint", "journal-2-checkpoint-former"):
+        state = JournalState()
+        for payload in journals.payloads(kept_bytes(name)):
+            state.apply_record(payload.encode("latin-1"))
+        assert not state.unknown_records
+        states.append(state)
+    now, former = states
+    assert now.comparable_contents() == former.comparable_contents()
+    assert now.finished_ids and not former.finished_ids
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -63,6 +63,7 @@
 LISTS = {
     "budget.config.MAX_BUDGETS",
     "dispatch.endpoint_list.MAX_REMOVED_ENDPOINTS",
+    "journal.state.MAX_FINISHED_IDS",
     "journal.state.MAX_LOST_MESSAGES",
     "lab.sweep.MAX_SEEDS",
     "member.roster.MAX_DEPARTED_MEMBERS",
@@ -102,6 +103,7 @@
     "dispatch.endpoint_list.MAX_POLL_RETRY_US": NUMBER,
     "dispatch.idempotency.MAX_SEND_DELAY_US": NUMBER,
     "journal.__main__.MAX_LISTED_IDS": "names on one printed line; the report contains all of them",
+    "journal.state.MAX_FINISHED_IDS_BYTES": TEXT,
     "journal.format.MAX_FRAME_NUMBER": NUMBER,
     "journal.format.MAX_V1_RECORD_BYTES": TEXT,
     "journal.format.MAX_RECORD_BYTES": TEXT,
