Limit what responses, operators and a slow handover target make the process hold

Cause: the class of the memory incident, looked for in related code.

Change: ResponseReader keeps the five headers that are read; the bodies of all operators' calls share a limit of one configuration, beyond which a call is answered 503; with more than 1 MiB unsent to the target a client's message is answered 503.

The recording transport of tests/compatibility answers for the size of its buffer now. Not mended: bodies of responses are limited to 64 KiB a connection, not over all of them; the list service's server was not looked at.

--- a/rainfall/forwarder/admin/admin_server.py
+++ b/rainfall/forwarder/admin/admin_server.py
@@ -32,6 +32,10 @@
 """Limit of a body that is not a configuration."""
 MAX_CONFIG_BYTES = 1 << 20
 """Limit of a body that is a configuration."""
+MAX_HELD_BYTES = MAX_CONFIG_BYTES + MAX_CONNECTIONS * MAX_BODY_BYTES
+"""Limit of the bodies of all connections together, so that callers who send half of a
+configuration cannot fill the memory. Beyond it a call is answered 503.
+"""
 DISCARDED_INPUT_FACTOR = 8
 """Input after the request is discarded; a connection that has sent more than this
 multiple of the largest request is aborted.
@@ -90,6 +94,8 @@
         """Set once the process has an engine, and replaced with each further one."""
         self.connections: dict[AdminConnection, None] = {}
         """Open connections, the oldest first."""
+        self.held_bytes = 0
+        """Size of the bodies that are being received."""
         self.listener: asyncio.Server | None = None
         self.routes = {
             "/_ready": Route("GET", self.respond_ready),
@@ -224,7 +230,7 @@
         """For the request's timeout; after the answer to an incomplete one, for LINGER_S."""
         self.path = ""
         """The path with its query."""
-        self.body = b""
+        self.body = bytearray()
         self.received_bytes = 0
         self.request_complete = False
         self.response_sent = False
@@ -243,6 +249,7 @@
         """Unregister the connection (called by the event loop)."""
         del error
         self.admin.connections.pop(self, None)
+        self.release_body()
         if self.timer is not None:
             self.timer.cancel()
         # Both refer back to this object: clearing them leaves no reference cycle for the
@@ -292,7 +299,13 @@
             self.max_body_bytes = MAX_CONFIG_BYTES
 
     def on_body(self, body: bytes) -> None:
-        """Append a piece of the body."""
+        """Append a piece of the body; answer 503 if all bodies are too large together."""
+        if self.response_sent:
+            return
+        if self.admin.held_bytes + len(body) > MAX_HELD_BYTES:
+            self.answer(HTTPStatus.SERVICE_UNAVAILABLE, "too many calls at once\n")
+            return
+        self.admin.held_bytes += len(body)
         self.body += body
 
     def on_message_complete(self) -> None:
@@ -305,8 +318,14 @@
             self.answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large\n")
         else:
             self.admin.handle(
-                method, self.path.partition("?")[0], self.body, self.answer
+                method, self.path.partition("?")[0], bytes(self.body), self.answer
             )
+        self.release_body()
+
+    def release_body(self) -> None:
+        """Drop the body."""
+        self.admin.held_bytes -= len(self.body)
+        self.body = bytearray()
 
     # Answering
 
@@ -326,6 +345,8 @@
         if self.response_sent or self.transport is None or self.transport.is_closing():
             return
         self.response_sent = True
+        if not self.request_complete:
+            self.release_body()
         body = text.encode()
         is_json = text.startswith("{")
         content_type = "application/json" if is_json else "text/plain; charset=utf-8"
--- a/rainfall/forwarder/handover/connection.py
+++ b/rainfall/forwarder/handover/connection.py
@@ -25,6 +25,8 @@
 """Linux allows 107 bytes in the path of a Unix socket; the rest is a margin."""
 MAX_LINE_BYTES = 64 * 1024 * 1024
 """A connection that sends a longer line is closed."""
+MAX_UNSENT_BYTES = 1 << 20
+"""Buffered output above which clients' messages are not forwarded."""
 READ_CHUNK_BYTES = 256 * 1024
 """Size of a read when the rest of a broken connection is drained."""
 log = logging.getLogger("rainfall.handover")
@@ -125,6 +127,13 @@
                 json.dumps(line, separators=(",", ":")).encode() + b"\n"
             )
 
+    def is_congested(self) -> bool:
+        """Return whether the other process has left much output unread."""
+        return (
+            self.transport is not None
+            and self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES
+        )
+
     def close(self) -> None:
         """Close the connection after all buffered output is written."""
         if self.transport is not None:
--- a/rainfall/forwarder/handover/source.py
+++ b/rainfall/forwarder/handover/source.py
@@ -256,9 +256,9 @@
     def submit(self, submitted: SubmittedMessage, writer: ResponseWriter) -> None:
         """Forward a client's message to the target, which answers it.
 
-        Without a target the client is answered 503.
+        Without a target, or if the target does not keep up, the client is answered 503.
         """
-        if self.connection is None:
+        if self.connection is None or self.connection.is_congested():
             writer.answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready", Retry_After="1")
             return
         self.last_request_number += 1
--- a/rainfall/forwarder/http1.py
+++ b/rainfall/forwarder/http1.py
@@ -26,6 +26,25 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})[ \r\n]")
 STATUS_PREFIX_BYTES = 13
 """Number of bytes of a status line that suffice to match STATUS_LINE."""
+RETRY_AFTER_HEADER = "x-ratelimit-wait-ms"
+"""Retry-After in milliseconds."""
+OVER_SLOTS_HEADER = "x-over-slots"
+"""Sent with a 503 where the endpoint had no free slot and did not start the call."""
+LOAD_HEADER = "x-backend-load"
+"""The load report: `name=number` fields, separated by commas."""
+KEPT_RESPONSE_HEADERS = {
+    name.encode(): name
+    for name in (
+        "content-length",
+        "transfer-encoding",
+        RETRY_AFTER_HEADER,
+        OVER_SLOTS_HEADER,
+        LOAD_HEADER,
+    )
+}
+"""Response headers that the forwarder reads, by their bytes in lower case. Others are
+dropped: a head of many short fields takes far more memory than its bytes.
+"""
 HEADER_END = b"\r\n\r\n"
 REUSE_PAUSE_US = 10_000
 """A connection carries no request for this time after a response, so that input that
@@ -68,7 +87,7 @@
         self.keep_alive = False
         """The connection can be reused; valid once the response is complete."""
         self.headers: Headers = {}
-        """Header values by lower-case header name."""
+        """Values of KEPT_RESPONSE_HEADERS by lower-case header name."""
         self.decoded_bytes = 0
         """Decoded bytes: header names, header values and the body."""
         self.raw_bytes = 0
@@ -236,11 +255,13 @@
     # Called by the parser
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Keep a header if the forwarder reads it."""
         if self.complete:
             return
         self.decoded_bytes += len(name) + len(value)
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        kept_name = KEPT_RESPONSE_HEADERS.get(name.lower())
+        if kept_name is not None:
+            self.headers[kept_name] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Store the status, and reject a body whose Content-Length is too large."""
--- a/rainfall/forwarder/outbound/responses.py
+++ b/rainfall/forwarder/outbound/responses.py
@@ -11,16 +11,16 @@
 from http import HTTPStatus
 
 from rainfall.dispatch import LoadReport, Outcome
-from rainfall.forwarder.http1 import MalformedResponseError, ResponseReader
+from rainfall.forwarder.http1 import (
+    LOAD_HEADER,
+    OVER_SLOTS_HEADER,
+    RETRY_AFTER_HEADER,
+    MalformedResponseError,
+    ResponseReader,
+)
 from rainfall.forwarder.outbound.connection import AttemptResult
 from rainfall.forwarder.units import US_PER_MS
 
-RETRY_AFTER_HEADER = "x-ratelimit-wait-ms"
-"""Retry-After in milliseconds."""
-OVER_SLOTS_HEADER = "x-over-slots"
-"""Sent with a 503 where the endpoint had no free slot and did not start the call."""
-LOAD_HEADER = "x-backend-load"
-"""The load report: `name=number` fields, separated by commas."""
 REMAINING_SHARE_FIELD = "x0"
 """Load report field: the share of the endpoint's rate limit that remains."""
 LIMIT_FIELD = "x1"
--- a/tests/compatibility/handovers.py
+++ b/tests/compatibility/handovers.py
@@ -59,6 +59,9 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.sent += bytes(data)
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def close(self) -> None:
         self.closed = True
 
