Count the copies of a message's record, not a third of the memory

Cause: with a third of what connections and requests leave, small messages were counted three times although MESSAGE_BYTES holds their checkpoint already: at 32 MB one client that handed in valid messages at full speed filled the limit, and 80 to 111 of 477 sound messages beside it got 503.

Change: the record of an open message counts three times (held, in a call, in a checkpoint), the rest of its memory once; messages may use all that connections and requests leave.

--- a/rainfall/forwarder/engine/message_limits.py
+++ b/rainfall/forwarder/engine/message_limits.py
@@ -25,9 +25,9 @@
 """
 MESSAGE_BYTES = 1_800
 """Maximum memory of an open message, without its journal record."""
-MESSAGE_MEMORY_DIVISOR = 3
-"""Open messages may use the memory left by connections and requests, divided by this: a
-body may also be part of an encoded call and of a checkpoint that is being written.
+RECORD_COPIES = 3
+"""How often a message's journal record, with its body, may be in memory: held, as part of
+an encoded call, and in a checkpoint that is being written.
 """
 MIN_MESSAGE_MEMORY_BYTES = BYTES_PER_MB
 """Memory that open messages may use even if the process limit is lower than
@@ -62,7 +62,7 @@
     """
     others = CONNECTION_BYTES * max_connections + input_memory_bytes(memory_mb)
     left = _available_bytes(memory_mb) - others
-    return max(MIN_MESSAGE_MEMORY_BYTES, left // MESSAGE_MEMORY_DIVISOR)
+    return max(MIN_MESSAGE_MEMORY_BYTES, left)
 
 
 def _available_bytes(memory_mb: int) -> int:
@@ -77,4 +77,4 @@
         messages: Number of open messages, including the one to accept.
         live_bytes: Size of their journal records, including that message's.
     """
-    return messages * MESSAGE_BYTES + live_bytes <= message_memory
+    return messages * MESSAGE_BYTES + RECORD_COPIES * live_bytes <= message_memory
