Keep a new connection open for its first request while the process ends

What callers saw: a request on a new connection was closed with no answer while its forwarder ended after SIGTERM.

Cause: at the end, ClientConnection.shut_down closed every connection without a request at once. A client that had just connected was sent the end of the connection while its request was on its way, and the request was read and discarded.

Change: a new connection stays open until the half of the grace at which all requests without a response are answered 503.

--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -558,12 +558,15 @@
     def shut_down(self, immediately: bool) -> None:
         """Close the connection because the process ends.
 
+        A new connection stays open for its first request, which may be on its way.
+
         Args:
             immediately: Answer 503 to all requests without a response, including an
-                incomplete one, instead of waiting for their responses.
+                incomplete one, instead of waiting for them and for their responses.
         """
         if self.is_idle():
-            self.close()
+            if self.request_count or immediately:
+                self.close()
         elif immediately and self.is_open():
             if self.active_request is None and not self.queued_requests:
                 self.active_request = self.reader.incomplete_request
--- a/tests/forwarder/test_shutdown_races.py
+++ b/tests/forwarder/test_shutdown_races.py
@@ -485,6 +485,25 @@
     play(scene)
 
 
+def test_first_request_of_a_new_connection_is_answered_while_the_process_ends() -> None:
+    """The connection was made before the end; its request comes a moment later."""
+
+    async def scene(harness: ServerHarness) -> None:
+        harness.immediate_status = HTTPStatus.SERVICE_UNAVAILABLE
+        client = ClientSocket(harness.port)
+        await harness.until(lambda: len(harness.server.connections) == 1)
+        ending = asyncio.create_task(harness.server.close(PATIENCE))
+        await harness.until(lambda: harness.server.listener is None)
+        for _ in range(2 * connection_registry.SETTLE_LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        client.send(message("m"))
+        assert (await client.answer())[0] == 503 and await client.read_to_end() == b""
+        client.socket.close()
+        await ending
+
+    play(scene)
+
+
 def test_close_ends_though_clients_keep_their_connections_open() -> None:
     async def scene(harness: ServerHarness) -> None:
         clients = [await harness.idle_client(), await harness.waiting_client()]
