Answer 413 again to one configuration that is too large by itself

Change: the size of a call's own body is counted and compared first; what is over its limit is not kept.

Result: test_check_at_the_admin_address_has_no_effect red (503 == 413), green now.

--- a/rainfall/forwarder/admin/admin_server.py
+++ b/rainfall/forwarder/admin/admin_server.py
@@ -231,6 +231,8 @@
         self.path = ""
         """The path with its query."""
         self.body = bytearray()
+        self.body_bytes = 0
+        """Size of the body received so far; a part over the limit is not kept."""
         self.received_bytes = 0
         self.request_complete = False
         self.response_sent = False
@@ -300,7 +302,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body; answer 503 if all bodies are too large together."""
-        if self.response_sent:
+        self.body_bytes += len(body)
+        if self.response_sent or self.body_bytes > self.max_body_bytes:
             return
         if self.admin.held_bytes + len(body) > MAX_HELD_BYTES:
             self.answer(HTTPStatus.SERVICE_UNAVAILABLE, "too many calls at once\n")
@@ -314,7 +317,7 @@
             return
         self.request_complete = True
         method = self.parser.get_method().decode("latin-1")
-        if len(self.body) > self.max_body_bytes:
+        if self.body_bytes > self.max_body_bytes:
             self.answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large\n")
         else:
             self.admin.handle(
