Keep a test's reserved port bound until its process listens

Cause: free_port gave its port up at once. Beside a soak, with thousands of connections whose local ports the kernel draws from the same range, test_requests_left_unread_by_a_departed_client_are_not_ sent_on[True-close] failed once: its process was not ready within 20 s, which is how a taken port shows (it cannot bind for 5 s and ends). Taken for that; the log of the process was not kept.

Change: the port stays bound, without listening, so that nobody else gets it; servers bind with SO_REUSEADDR and can still listen there. The last 200 are kept.

--- a/tests/support/loopback_peers.py
+++ b/tests/support/loopback_peers.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -209,10 +210,21 @@
         return next(n for n in self.notices if n["id"] == name)
 
 
+RESERVED_PORTS: deque[socket.socket] = deque(maxlen=200)
+"""Bound sockets that do not listen: the kernel gives their ports to nobody else, and a
+process that binds with SO_REUSEADDR, as servers do, may still listen there.
+"""
+
+
 def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return int(s.getsockname()[1])
+    """Reserve a port for a process that binds it later."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    if len(RESERVED_PORTS) == RESERVED_PORTS.maxlen:
+        RESERVED_PORTS.popleft().close()
+    RESERVED_PORTS.append(reserved)
+    return int(reserved.getsockname()[1])
 
 
 SETTINGS: dict[str, Any] = {
