Read the responses that lie unread before a call of their scope is written

Cause: callbacks that were ready before a hold-up run before the sockets are read, and the last check before a write looked at the waits that had been read only.

Change: if a response to another call of the same throttle scope is unread, the call waits once for a timer of no delay, which runs after the sockets are read, and is checked again.

--- a/rainfall/forwarder/outbound/connection.py
+++ b/rainfall/forwarder/outbound/connection.py
@@ -86,6 +86,8 @@
     """Number of messages in the encoded request."""
     checked_at_us: int = 0
     """When the clock was last read to decide that the call may still be sent."""
+    waited_for_input: bool = False
+    """The call has waited until unread responses of its throttle scope were read."""
     response_started: bool = False
     """A part of the response was received, and the timer for its completion is set."""
     open_items: dict[str, CallItem] = field(default_factory=dict)
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -237,6 +237,12 @@
         ):
             self.finish(call, AttemptResult(Outcome.NOT_SENT))
             self.keep_idle(connection, call.endpoint)
+        elif not call.waited_for_input and self._has_unread_response(call):
+            # It may be a Retry-After for this call. Timers run after the sockets are read.
+            call.waited_for_input = True
+            asyncio.get_running_loop().call_later(
+                0, self.retry_launch, call, connection
+            )
         elif pause_us := self.reuse_pause_us(connection):
             asyncio.get_running_loop().call_later(
                 pause_us / US_PER_SECOND, self.retry_launch, call, connection
@@ -244,6 +250,19 @@
         else:
             self.launch(call, connection)
 
+    def _has_unread_response(self, call: OutboundCall) -> bool:
+        """Whether a response to another call of the same throttle scope is unread.
+
+        That is so after the process was held up.
+        """
+        connections = {
+            other.connection
+            for other in self.calls.values()
+            if other.throttle_scope == call.throttle_scope
+            and other.connection is not None
+        }
+        return any(connection.has_unread_input() for connection in connections)
+
     def _drop_late_items(self, call: OutboundCall) -> None:
         """End the attempts of a call that must not be sent any more at this time."""
         now = self.clock()
