Take no unreadable rejection for proof that a call was not executed

Cause: a 429 counted as a rejection whatever its wait said, a status line with control characters as its status, and of two states for a message in a batch's response the last one; each proves that the message was not executed. TERMS: an answer that cannot be read as the protocol requires may have run; only a first line with 200 for a single message is true whatever follows.

Change: a 429 with a wait that is no number, a status line with control characters other than a tab, and a JSON object with a repeated key are malformed responses: the outcome is unreadable, the connection ends. A 429 without a wait stays a rejection.

--- a/rainfall/forwarder/http1.py
+++ b/rainfall/forwarder/http1.py
@@ -8,6 +8,7 @@
 
 import re
 from collections.abc import Iterable
+from http import HTTPStatus
 
 import httptools
 
@@ -24,6 +25,8 @@
 RAW_BODY_FACTOR = 8
 """Maximum raw size of a body as a multiple of its decoded size: chunks may be small."""
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})[ \r\n]")
+STATUS_LINE_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Bytes that no status line holds; a tab is allowed."""
 STATUS_PREFIX_BYTES = 13
 """Number of bytes of a status line that suffice to match STATUS_LINE."""
 RETRY_AFTER_HEADER = "x-ratelimit-wait-ms"
@@ -223,9 +226,14 @@
     def _set_status(self, status: int, data: bytes) -> bytes:
         """Set `status_line_code` once the status line is complete.
 
-        A truncated status line must not count as a status.
+        A truncated status line must not count as a status, nor one with control
+        characters (RFC 9112, 4); but one that says 200 does, whatever follows.
         """
-        if b"\n" in data:
+        line, line_end, _ = data.partition(b"\n")
+        if line_end:
+            if STATUS_LINE_CONTROLS.search(line.removesuffix(b"\r")):
+                self.status_line_code = status if status == HTTPStatus.OK else 0
+                raise MalformedResponseError("control characters in the status line")
             self.status_line_code = status
             return data
         if len(data) > MAX_HEADER_BYTES:
--- a/rainfall/forwarder/outbound/connection_pool.py
+++ b/rainfall/forwarder/outbound/connection_pool.py
@@ -57,6 +57,8 @@
 """Number of stored Retry-After entries above which expired ones are removed. Some
 hundred endpoints may each have one.
 """
+UNREADABLE_RESULT = AttemptResult(Outcome.UNREADABLE, weak_evidence=True)
+"""Result of a call whose response cannot be read: it may have been executed."""
 MALFORMED_LOG_INTERVAL_US = 5 * US_PER_SECOND
 """Minimum interval between log lines about malformed responses: some endpoints send
 many.
@@ -578,12 +580,17 @@
             )
             return
         report = self.read_load_report(reader)
-        if not call.batched:
-            self.finish(call, responses.parse_single(reader), report)
-        elif reader.status == HTTPStatus.OK:
+        if call.batched and reader.status == HTTPStatus.OK:
             self.on_batch_response(call, reader, report)
-        else:
-            self.finish(call, responses.parse_shared(reader), report)
+            return
+        parse = responses.parse_shared if call.batched else responses.parse_single
+        try:
+            result = parse(reader)
+        except MalformedResponseError as error:
+            reader.keep_alive = False
+            self.log_malformed_response(call, error)
+            result, report = UNREADABLE_RESULT, None
+        self.finish(call, result, report)
 
     def on_foreign_input(self, call: OutboundCall) -> None:
         """End a call whose connection received input that is not its response.
@@ -618,7 +625,7 @@
         A response that names other messages belongs, at least in part, to another call.
         """
         unlisted = AttemptResult(Outcome.FAILED)
-        unreadable = AttemptResult(Outcome.UNREADABLE, weak_evidence=True)
+        unreadable = UNREADABLE_RESULT
         try:
             results = responses.parse_batch(reader)
         except MalformedResponseError as error:
--- a/rainfall/forwarder/outbound/responses.py
+++ b/rainfall/forwarder/outbound/responses.py
@@ -1,6 +1,7 @@
 """Interprets the responses to calls: outcomes, Retry-After and load reports.
 
-A malformed header is treated as absent.
+A malformed load report is treated as absent. A response that is malformed otherwise
+proves nothing: its call may have been executed.
 """
 
 from __future__ import annotations
@@ -70,11 +71,17 @@
 
 
 def parse_single(reader: ResponseReader) -> AttemptResult:
-    """Return the result of a call with one message, by the response's status."""
+    """Return the result of a call with one message, by the response's status.
+
+    Raises:
+        MalformedResponseError: The response rejects the call with a Retry-After that
+            cannot be read.
+    """
     match reader.status:
         case HTTPStatus.OK:
             return AttemptResult(Outcome.DELIVERED, final=True)
         case HTTPStatus.TOO_MANY_REQUESTS:
+            _check_retry_after(reader)
             return AttemptResult(
                 Outcome.REJECTED, retry_after_us=parse_retry_after_us(reader)
             )
@@ -91,12 +98,21 @@
     return AttemptResult(Outcome.FAILED)
 
 
+def _check_retry_after(reader: ResponseReader) -> None:
+    text = reader.headers.get(RETRY_AFTER_HEADER)
+    if text is not None and parse_number(text) == MALFORMED_NUMBER:
+        raise MalformedResponseError(f"{RETRY_AFTER_HEADER} is no number: {text!r}")
+
+
 def parse_shared(reader: ResponseReader) -> AttemptResult:
     """Return the result of a batch call's messages, by a status other than 200.
 
     That a message has expired, or has used up its attempts, can only be stated for each
     message. A status that states it for a whole batch counts as a failure, after which
     the messages may have been executed.
+
+    Raises:
+        MalformedResponseError: As `parse_single`.
     """
     if reader.status in SHARED_STATUSES:
         return parse_single(reader)
@@ -109,12 +125,13 @@
     A message that the body does not list has failed; the caller adds that result.
 
     Raises:
-        MalformedResponseError: The body is not a list of ids and states, or lists a
-            message twice.
+        MalformedResponseError: The body is not a list of ids and states, lists a message
+            twice, or has a key twice.
     """
     retry_after_us = parse_retry_after_us(reader)
     try:
-        states = [(item["id"], item["state"]) for item in json.loads(reader.body)]
+        items = json.loads(reader.body, object_pairs_hook=_unique_keys)
+        states = [(item["id"], item["state"]) for item in items]
         results: dict[str, AttemptResult] = {}
         for message_id, state in states:
             if message_id in results:
@@ -128,6 +145,18 @@
     return results
 
 
+def _unique_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Return a JSON object; json.loads alone would keep the last of repeated keys.
+
+    Raises:
+        MalformedResponseError: A key is repeated, so that its values may contradict.
+    """
+    values = dict(pairs)
+    if len(values) != len(pairs):
+        raise MalformedResponseError("a key is repeated in an object")
+    return values
+
+
 def _result_of_state(state: object, retry_after_us: int) -> AttemptResult:
     outcome = Outcome.FAILED
     if isinstance(state, str):
