Hear discovery that answers later than the timeout of a request

Cause: each request that was not held was given up after 0.2 s (0.6 s where lists are asked for) together with its connection, and the next one met the same end. The times cannot grow: after an outage the first answer has to be heard at once.

Change: up to two requests that timed out are still read, each on its own connection, for 3 s more, while new ones are sent as before; the first list that is newer than the known one is applied. A held poll that falls silent stays broken. Once a request is answered in time, the late ones are dropped. Two more descriptors are reserved.

--- a/rainfall/forwarder/discovery/endpoint_watch.py
+++ b/rainfall/forwarder/discovery/endpoint_watch.py
@@ -18,6 +18,7 @@
 from rainfall.dispatch.endpoint_list import MAX_POLL_RETRY_US
 from rainfall.forwarder.config.loading import Address, EndpointList, parse_endpoint_list
 from rainfall.forwarder.discovery.http_connection import HttpConnection
+from rainfall.forwarder.discovery.late_responses import LateResponses
 from rainfall.forwarder.discovery.notifications import (
     LOOP_ALLOWANCE_S,
     MAX_NOTIFICATIONS_PER_POST,
@@ -250,6 +251,11 @@
             connection.close()
             raise
 
+    def detach_connection(self) -> HttpConnection:
+        """Return the connection, and use a new one for the next request."""
+        connection, self.connection = self.connection, HttpConnection()
+        return connection
+
     def close(self) -> None:
         """Close the connection; the next request opens a new one."""
         self.connection.close()
@@ -282,6 +288,7 @@
             pushed: Whether lists are pushed.
         """
         self.client = HttpClient(address)
+        self.late_responses = LateResponses(self.on_late_response)
         self.version = version
         self.on_list = on_list
         self.random = random.Random(seed)
@@ -315,6 +322,7 @@
         if self.task is not None:
             self.task.cancel()
         self.client.close()
+        self.late_responses.close()
         self.client = HttpClient(address)
         self.version = NO_VERSION
         self.task = None
@@ -330,6 +338,7 @@
         # A SIGHUP while the process ends must not restart the watch.
         self.subscribed = False
         self.client.close()
+        self.late_responses.close()
 
     async def follow(self) -> None:
         """Poll the list repeatedly, until a failure is reported."""
@@ -361,14 +370,50 @@
     async def _poll(self) -> None:
         """Request the list once, and report it."""
         path, timeout_s = self.next_request()
-        response = await self.client.request("GET", path, timeout_s)
-        if response.status != HTTPStatus.OK:
-            raise MalformedResponseError(f"unexpected status {response.status}")
-        endpoints = parse_endpoint_list(json.loads(response.body))
+        try:
+            response = await self.client.request("GET", path, timeout_s)
+        except TimeoutError:
+            # A held poll that falls silent is broken, and opened anew.
+            if not self.confirmed:
+                self._await_late_response()
+            raise
+        self.late_responses.close()
+        endpoints = self._parse(response)
         self.check_version(endpoints)
         self.on_list(endpoints)
         self.version = endpoints.version
 
+    def _await_late_response(self) -> None:
+        """Go on reading the response of a request that timed out, on its connection."""
+        if self.client.connection.has_timed_out() and self.late_responses.has_room():
+            self.late_responses.keep(self.client.detach_connection())
+
+    def on_late_response(self, response: ResponseReader) -> None:
+        """Apply a list that came after its request had timed out, if it is newer.
+
+        It holds all changes since the version that was known when it was requested, so
+        it applies to each version in between.
+        """
+        try:
+            endpoints = self._parse(response)
+        # A malformed response is no better for being late.
+        except Exception as error:
+            log.warning("cannot read a late endpoint list: %s", error)
+            return
+        if not self.subscribed or endpoints.version <= self.version:
+            return
+        if not endpoints.complete and self.version <= NO_VERSION:
+            return
+        self.on_list(endpoints)
+        self.version = endpoints.version
+        self.list_received.set()
+
+    @staticmethod
+    def _parse(response: ResponseReader) -> EndpointList:
+        if response.status != HTTPStatus.OK:
+            raise MalformedResponseError(f"unexpected status {response.status}")
+        return parse_endpoint_list(json.loads(response.body))
+
     def check_version(self, endpoints: EndpointList) -> None:
         """Reject changes that do not apply to the known list.
 
--- a/rainfall/forwarder/discovery/http_connection.py
+++ b/rainfall/forwarder/discovery/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from rainfall.forwarder.http1 import (
     MAX_LIST_BYTES,
@@ -113,6 +114,26 @@
         if self.transport is not None:
             self.transport.pause_reading()
 
+    def has_timed_out(self) -> bool:
+        """Whether a request was sent whose response has not come in time."""
+        return (
+            self.is_open() and self.response is not None and self.response.cancelled()
+        )
+
+    def await_late_response(self, on_end: Callable[[], None]) -> None:
+        """Go on reading the response of a request that timed out.
+
+        No further request may be sent.
+
+        Args:
+            on_end: Called once the response is complete or has failed (`error`).
+        """
+        self.retired = True
+        self.response = asyncio.get_running_loop().create_future()
+        self.response.add_done_callback(lambda _response: on_end())
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     def is_open(self) -> bool:
         """Whether the socket is open and not being closed."""
         return self.transport is not None and not self.transport.is_closing()
--- a/rainfall/forwarder/engine/sockets.py
+++ b/rainfall/forwarder/engine/sockets.py
@@ -7,6 +7,7 @@
 
 from rainfall.forwarder.admin import admin_server
 from rainfall.forwarder.admin.admin_server import MAX_CONNECTIONS
+from rainfall.forwarder.discovery.late_responses import MAX_LATE_CONNECTIONS
 from rainfall.forwarder.inbound.server import (
     ACCEPT_BATCH,
     ACCEPT_LOOP_ITERATIONS,
@@ -14,15 +15,15 @@
 )
 from rainfall.forwarder.outbound.connection_pool import ConnectionPool
 
-RESERVED_DESCRIPTORS = 24
+RESERVED_DESCRIPTORS = 24 + MAX_LATE_CONNECTIONS
 """Descriptors for everything but the connections of clients, operators and endpoints.
 
 They are: 3 standard streams; 3 of the event loop; the clients' listener, the listener
 inherited from the platform, and the operators' listener; the journal, the file that
 replaces it during compaction, and its directory; the lock and its directory; the
 handover's listener and connection; the connections of discovery and of the notifier,
-each with a previous one that is closing; the configuration file while it is read; and a
-few spare ones.
+each with a previous one that is closing; those of discovery's late responses; the
+configuration file while it is read; and a few spare ones.
 """
 ADMIN_DESCRIPTORS = (
     1 + MAX_CONNECTIONS + ACCEPT_LOOP_ITERATIONS * admin_server.ACCEPT_BATCH
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -137,6 +137,9 @@
     "forwarder.fleet.quotas.MAX_PART_NAME_BYTES": TEXT,
     "forwarder.fleet.state_file.MAX_FILE_BYTES": TEXT,
     "forwarder.handover.source.MAX_HOLD_TIMEOUT_S": NUMBER,
+    "forwarder.discovery.late_responses.MAX_LATE_CONNECTIONS": (
+        "connections to the one discovery agent"
+    ),
     "forwarder.engine.call_dispatch.MAX_EARLY_TIMEOUT_US": NUMBER,
     "forwarder.engine.message_limits.MAX_INPUT_MEMORY_BYTES": TEXT,
     "dispatch.message_queues.MAX_SPARE_CLASS_QUEUES": ONE,
