Give up the calls of an old process whose successor is lost while it drains

Cause: during its shutdown the old process answered its clients when the target was lost, but kept its calls until they ended, up to 3.3 s after SIGTERM.

Change: the old process closes its calls at the moment in which it learns of the loss; a next process comes 0.6 s later at the earliest. A call that would have ended in between is given up; before, its outcome was dropped too.

--- a/rainfall/forwarder/engine/ownership.py
+++ b/rainfall/forwarder/engine/ownership.py
@@ -73,7 +73,9 @@
         """Handle the loss of the target after the transfer.
 
         Before SIGTERM this engine stops, and another one starts from the journal.
-        During shutdown the waiting clients are answered by what the journal holds.
+        During shutdown the waiting clients are answered by what the journal holds, and
+        the calls in flight are given up: their outcomes can no longer be journaled, and
+        the next process, which counts them as interrupted, may start at any time.
         """
         if not self.state.shutdown_started_s:
             log.error("handover target lost; restarting from the journal")
@@ -83,6 +85,7 @@
         log.error(
             "handover target lost during shutdown; its messages stay in the journal"
         )
+        self.pool.close()
         self.respond_from_journal()
 
     def respond_from_journal(self) -> None:
--- /dev/null
+++ b/tests/forwarder/test_lost_target.py
@@ -0,0 +1,75 @@
+"""The process that took over is killed while the old one still has calls out: the next
+process must not act beside them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from tests.support.loopback_peers import (
+    OK,
+    PATIENCE,
+    Answer,
+    Node,
+    Peer,
+    Platform,
+    Request,
+)
+
+ESTABLISHED = "01"
+"""State of an open connection in /proc/net/tcp."""
+
+
+def is_open(client_port: int) -> bool:
+    """Whether the connection from this port is open at the forwarder's side."""
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()]
+    port = f":{client_port:04X}"
+    return any(row[1].endswith(port) and row[3] == ESTABLISHED for row in rows)
+
+
+def test_no_call_of_a_key_is_made_while_the_old_process_has_one_out(
+    tmp_path: Path,
+) -> None:
+    async def scene() -> None:
+        gate = asyncio.Event()
+        still_open: list[bool] = []
+
+        async def answer(request: Request) -> Answer:
+            if request is peer.requests[0]:
+                await gate.wait()
+            else:
+                still_open.append(is_open(first_port()))
+            return OK
+
+        def first_port() -> int:
+            port: int = peer.requests[0].writer.get_extra_info("peername")[1]
+            return port
+
+        platform = Platform()
+        await platform.start()
+        peer = await Peer(answer).start()
+        platform.host("s", peer.port)
+        old = Node(tmp_path, platform)
+        old.hold_listener()
+        await old.start()
+        for name in ("first", "second"):
+            status, _ = await old.hand_in(name, "turns", X_Session_Key="k")
+            assert status == 202
+        await peer.wait_for_requests(1)
+        new = await old.start_second_process()
+        await new.until_ready()
+        old.process.send_signal(signal.SIGTERM)
+        await old.until_logged("stopping")
+        await new.end()
+        third = await old.start_second_process()
+        async with asyncio.timeout(PATIENCE):
+            while len(still_open) < 2:
+                await asyncio.sleep(0.01)
+        assert still_open == [False, False]
+        gate.set()
+        await old.end()
+        await third.end()
+
+    asyncio.run(scene())
