--- a/measure/client_pressure.py
+++ b/measure/client_pressure.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 
 from tests.support.client_pressure import FORMS, CrowdProcess
+from tests.support.kernel_figures import memory_kb
 from tests.support.loopback_peers import (
     OK,
     Node,
@@ -37,16 +38,6 @@
 DELIVERY_CHECKS = 10
 
 
-def memory_kb(pid: int, name: str) -> int:
-    """Return a figure of the process's status, such as VmHWM, in kB; 0 if it ended."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0
-    value = status.partition(f"{name}:")[2].split()
-    return int(value[0]) if value else 0
-
-
 def clients_of(form: str) -> int:
     """Return how many clients play a form: floods and leaving clients are few."""
     if form.startswith("flood"):
--- a/measure/soak.py
+++ b/measure/soak.py
@@ -17,11 +17,11 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from tests.support.client_pressure import FORMS, CrowdProcess, with_body
+from tests.support.kernel_figures import memory_kb
 from tests.support.loopback_peers import Answer, Node, Peer, Platform, Request
 
 CLASSES = ("status", "pay", "order", "turns")
@@ -281,10 +281,8 @@
             self.broken.append(f"the process ended by itself with {code}")
 
     def _read_peak(self) -> None:
-        with suppress(OSError, ValueError, IndexError):
-            status = Path(f"/proc/{self.node.process.pid}/status").read_text()
-            peak = int(status.partition("VmHWM:")[2].split()[0])
-            self.peak_kb = max(self.peak_kb, peak)
+        peak_kb = memory_kb(self.node.process.pid, "VmHWM")
+        self.peak_kb = max(self.peak_kb, peak_kb)
 
     # Judgement
 
--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -19,6 +19,7 @@
 from rainfall.forwarder.inbound.input_budget import InputBudget
 from rainfall.forwarder.inbound.request_reader import RequestReader
 from rainfall.forwarder.inbound.requests import BadRequestError, Request
+from rainfall.forwarder.inbound.response_head import encode_response_head
 from rainfall.forwarder.socket_state import (
     has_unread_input,
     peer_has_closed,
@@ -450,7 +451,7 @@
             return
         keep_open = self._stays_open_after(request)
         body = (text + "\n").encode() if text else b""
-        head = _encode_response_head(status, headers, len(body), keep_open)
+        head = encode_response_head(status, headers, len(body), keep_open)
         self.transport.write(head if request.method == "HEAD" else head + body)
         self.last_used_us = self.server.clock()
         if not keep_open:
@@ -577,18 +578,3 @@
         """Close immediately, and drop unread input and unsent responses."""
         if self.transport is not None:
             self.transport.abort()
-
-
-def _encode_response_head(
-    status: HTTPStatus, headers: dict[str, str], body_bytes: int, keep_open: bool
-) -> bytes:
-    lines = [
-        f"HTTP/1.1 {status.value} {status.phrase}",
-        f"Content-Length: {body_bytes}",
-        *(f"{name.replace('_', '-')}: {value}" for name, value in headers.items()),
-    ]
-    if body_bytes:
-        lines.append("Content-Type: text/plain; charset=utf-8")
-    if not keep_open:
-        lines.append("Connection: close")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- a/rainfall/forwarder/inbound/input_budget.py
+++ b/rainfall/forwarder/inbound/input_budget.py
@@ -96,15 +96,17 @@
         for connection in self._incomplete_first():
             if self.held_bytes <= target_bytes:
                 return
-            self.rejected_requests += 1
             connection.reject_incomplete(error)
-            self.update(connection)
+            self._count_rejection(connection)
         for connection in self._largest_first():
             if self.held_bytes <= target_bytes:
                 return
-            self.rejected_requests += 1
             connection.reject_queued(error)
-            self.update(connection)
+            self._count_rejection(connection)
+
+    def _count_rejection(self, connection: BufferingConnection) -> None:
+        self.rejected_requests += 1
+        self.update(connection)
 
     def _incomplete_first(self) -> Iterable[BufferingConnection]:
         """Return the connections with an incomplete request, the longest ones first."""
--- a/rainfall/forwarder/inbound/server.py
+++ b/rainfall/forwarder/inbound/server.py
@@ -7,13 +7,13 @@
 import os
 import socket
 from collections.abc import Callable
-from enum import IntEnum
 from http import HTTPStatus
 
 from rainfall.dispatch import Settings
 from rainfall.forwarder.inbound.client_connection import ClientConnection
 from rainfall.forwarder.inbound.client_statistics import CloseReason
 from rainfall.forwarder.inbound.connection_registry import ConnectionRegistry
+from rainfall.forwarder.inbound.eviction import choose_evicted
 from rainfall.forwarder.inbound.messages import (
     ResponseWriter,
     SubmittedMessage,
@@ -53,10 +53,6 @@
 """An idle connection that has sent requests is closed after this time. While more than
 half of the allowed connections are open, SILENT_CONNECTION_US applies instead.
 """
-FIRST_REQUEST_WAIT_US = 400_000
-"""How long clients wait for a response; they send their request right after connecting.
-A connection that is older has had the time for a request.
-"""
 SWEEP_INTERVAL_S = 0.2
 """Interval at which connections are checked for expired timeouts."""
 LOOP_CHECK_INTERVAL_S = 0.05
@@ -81,30 +77,6 @@
 log = logging.getLogger("rainfall.server")
 
 
-class EvictionGroup(IntEnum):
-    """Eviction order of connections: those of the lowest group are closed first."""
-
-    DISCARDING_INPUT = 0
-    """Input is being discarded: a request was rejected, or the connection closes."""
-    NO_REQUEST_SUSPECT = 1
-    """No complete request so far, although the oldest such connection had the time for
-    one, or such connections are more than half of the limit.
-    """
-    IDLE = 2
-    """Complete requests so far, and none at present."""
-    INCOMPLETE = 3
-    """Complete requests so far, and the next one is incomplete."""
-    NO_REQUEST_NEW = 4
-    """No complete request so far, and possibly no time for one."""
-
-
-EvictionRank = tuple[EvictionGroup, int]
-"""The group, and the time of the last use or of connecting in microseconds: the oldest
-connection of a group is evicted first. A plain tuple is cheap, and under a flood all
-connections are ranked again for each new one.
-"""
-
-
 async def bind_listener(host: str, port: int) -> socket.socket:
     """Return a listening socket.
 
@@ -219,15 +191,13 @@
         return now - max(self.loop_delay_us, now - self.loop_check_due_us, 0)
 
     def add_connection(self, connection: ClientConnection) -> None:
-        """Register a connection, and evict one if there are too many.
-
-        A connection with unread input, or with a complete request that has no response,
-        is not evicted. If there is no other, the new connection is.
-        """
+        """Register a connection, and evict one if there are too many."""
         self.connections.add(connection)
         if len(self.connections) <= self.max_connections:
             return
-        evicted = self._choose_evicted(connection)
+        evicted = choose_evicted(
+            self.connections, connection, self.max_connections, self.clock()
+        )
         self.statistics.count_close(CloseReason.EVICTED)
         evicted.abort()
         # The descriptor is closed in the next loop iteration. If the connection were
@@ -235,60 +205,6 @@
         # this iteration, and no other would be evicted.
         self.connections.discard(evicted)
 
-    def _choose_evicted(self, newest: ClientConnection) -> ClientConnection:
-        evictable = [
-            connection
-            for connection in self.connections
-            if connection is not newest
-            and connection.active_request is None
-            and not connection.queued_requests
-        ]
-        for candidate in sorted(evictable, key=self.eviction_order(evictable)):
-            # Unread input may be a request, and closing would reset the connection.
-            if candidate.discarding_input or not candidate.has_unread_input():
-                return candidate
-        return newest
-
-    def eviction_order(
-        self, evictable: list[ClientConnection]
-    ) -> Callable[[ClientConnection], EvictionRank]:
-        """Return the sort key that orders connections for eviction.
-
-        Connections whose input is discarded come first. Connections without a complete
-        request follow, the oldest first, if they are many or one has had the time for a
-        request, so that clients that are silent or send endless incomplete requests do
-        not evict those that send complete ones. Then comes the connection idle longest.
-        Otherwise connections without a complete request come last, so that idle
-        connections do not evict a new one whose input has not been read yet.
-        """
-        first_request_waits = [
-            connection.connected_at_us
-            for connection in evictable
-            if not connection.request_count and not connection.discarding_input
-        ]
-        is_suspect = (
-            2 * len(first_request_waits) > self.max_connections
-            or self.clock() - min(first_request_waits, default=0)
-            >= FIRST_REQUEST_WAIT_US
-        )
-        no_request_group = (
-            EvictionGroup.NO_REQUEST_SUSPECT
-            if is_suspect
-            else EvictionGroup.NO_REQUEST_NEW
-        )
-
-        def rank(connection: ClientConnection) -> EvictionRank:
-            if connection.discarding_input:
-                return EvictionGroup.DISCARDING_INPUT, connection.last_used_us
-            if not connection.request_count:
-                return no_request_group, connection.connected_at_us
-            group = (
-                EvictionGroup.IDLE if connection.is_idle() else EvictionGroup.INCOMPLETE
-            )
-            return group, connection.last_used_us
-
-        return rank
-
     def reject_departed(self) -> None:
         """Reject the requests of clients that left while their input was not read."""
         for connection in list(self.paused_connections):
--- a/tests/forwarder/test_bad_clients.py
+++ b/tests/forwarder/test_bad_clients.py
@@ -29,6 +29,7 @@
     SubmittedMessage,
 )
 from rainfall.wirehost import parse_settings
+from tests.support.kernel_figures import memory_kb
 from tests.support.loopback_peers import (
     OK,
     PATIENCE,
@@ -617,11 +618,6 @@
     play(scene, monkeypatch)
 
 
-def peak_kb(pid: int) -> int:
-    text = Path(f"/proc/{pid}/status").read_text()
-    return int(text.partition("VmHWM:")[2].split()[0])
-
-
 def test_many_bad_clients_use_bounded_memory_and_good_ones_are_served(
     tmp_path: Path,
 ) -> None:
@@ -647,7 +643,7 @@
         filler = [b"a", b"a", b"1\r\na\r\n", b"\0", b"GET /no HTTP/1.1\r\n\r\n"]
         try:
             await node.hand_in("first", "status")
-            before = peak_kb(pid)
+            before = memory_kb(pid, "VmHWM")
             os.kill(pid, signal.SIGSTOP)
             for n in range(100):
                 sock = socket.create_connection(("127.0.0.1", node.port))
@@ -671,7 +667,7 @@
                     503,
                 }
             assert (await node.hand_in("last", "status"))[0] == 202
-            assert peak_kb(pid) - before < 16 * 1024
+            assert memory_kb(pid, "VmHWM") - before < 16 * 1024
         finally:
             for sock in bad_sockets:
                 sock.close()
--- a/tests/forwarder/test_client_pressure.py
+++ b/tests/forwarder/test_client_pressure.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests.support.client_pressure import CrowdProcess
+from tests.support.kernel_figures import memory_kb
 from tests.support.loopback_peers import (
     OK,
     PATIENCE,
@@ -48,8 +49,7 @@
     def peak_bytes(self) -> int:
         """Return the peak of the resident memory; fails if the process has ended."""
         assert self.node.process.returncode is None, "".join(self.node.log)
-        status = Path(f"/proc/{self.node.process.pid}/status").read_text()
-        return int(status.partition("VmHWM:")[2].split()[0]) * BYTES_PER_KB
+        return memory_kb(self.node.process.pid, "VmHWM") * BYTES_PER_KB
 
     def received(self) -> list[str]:
         """Return the ids of the messages that reached the endpoint."""
--- a/tests/forwarder/test_descriptor_limits.py
+++ b/tests/forwarder/test_descriptor_limits.py
@@ -20,10 +20,10 @@
 from rainfall.forwarder.engine.engine import Engine
 from rainfall.forwarder.engine.engine_state import Clock
 from rainfall.forwarder.engine.sockets import RESERVED_DESCRIPTORS
+from rainfall.forwarder.inbound.eviction import FIRST_REQUEST_WAIT_US
 from rainfall.forwarder.inbound.server import (
     ACCEPT_BATCH,
     ACCEPT_LOOP_ITERATIONS,
-    FIRST_REQUEST_WAIT_US,
     InboundServer,
 )
 from rainfall.forwarder.message_store import AcceptedMessage, MessageStore
--- a/tests/forwarder/test_lost_target.py
+++ b/tests/forwarder/test_lost_target.py
@@ -8,6 +8,7 @@
 import signal
 from pathlib import Path
 
+from tests.support.kernel_figures import open_connections
 from tests.support.loopback_peers import (
     OK,
     PATIENCE,
@@ -18,15 +19,10 @@
     Request,
 )
 
-ESTABLISHED = "01"
-"""State of an open connection in /proc/net/tcp."""
-
 
 def is_open(client_port: int) -> bool:
     """Whether the connection from this port is open at the forwarder's side."""
-    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()]
-    port = f":{client_port:04X}"
-    return any(row[1].endswith(port) and row[3] == ESTABLISHED for row in rows)
+    return any(c.local_port == client_port for c in open_connections())
 
 
 def test_no_call_of_a_key_is_made_while_the_old_process_has_one_out(
--- a/tests/forwarder/test_slow_discovery.py
+++ b/tests/forwarder/test_slow_discovery.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 
 import pytest
 
@@ -14,10 +13,9 @@
 from rainfall.forwarder.config.loading import EndpointList
 from rainfall.forwarder.discovery.endpoint_watch import EndpointWatch
 from rainfall.forwarder.discovery.late_responses import MAX_LATE_CONNECTIONS
+from tests.support.kernel_figures import open_connections
 from tests.support.loopback_peers import PATIENCE, Answer, Platform, Request
 
-ESTABLISHED = "01"
-"""State of an open connection in /proc/net/tcp."""
 LATE_S = 0.7
 """Later than the timeouts of a request, and than the grace of a held one."""
 
@@ -37,9 +35,7 @@
 
     def open_connections(self) -> int:
         """Count the connections that the forwarder's side has open."""
-        port = f":{self.port:04X}"
-        rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()]
-        return sum(row[2].endswith(port) and row[3] == ESTABLISHED for row in rows)
+        return sum(c.remote_port == self.port for c in open_connections())
 
 
 class Subscriber:
