Accept the rest of the backlog after an accept that failed

Cause: when a process stops listening it accepts the backlog itself, and any error of accept(2) ended that. accept(2) reports errors of single connections (ECONNABORTED, EPROTO) and of a moment (ENETDOWN, ENOBUFS); the clients behind such a one were reset.

Change: only an empty backlog, a closed socket or a lack of descriptors ends it.

Result: test_accept_errors.py, red before for four errors (the clients behind the failed accept had no answer), green now.

--- a/rainfall/forwarder/inbound/connection_registry.py
+++ b/rainfall/forwarder/inbound/connection_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
@@ -29,6 +30,13 @@
 """Maximum size of a read: while hundreds of clients send large requests at once, a small
 one waits for a read of each.
 """
+ACCEPT_END_ERRNOS = frozenset(
+    (errno.EAGAIN, errno.EBADF, errno.EINVAL, errno.EMFILE, errno.ENFILE)
+)
+"""Errors of accept(2) after which no further connection can be accepted: the backlog is
+empty, the socket is closed, or no descriptor is left. Others concern one connection or
+a moment.
+"""
 DEFAULT_INPUT_BYTES = 16_000_000
 """Limit of the memory of all clients' requests, until the engine sets it."""
 
@@ -141,8 +149,11 @@
             for _ in range(max(0, self.max_connections - len(self.connections))):
                 try:
                     accepted, _ = listening_socket.accept()
-                except OSError:
-                    break
+                except OSError as error:
+                    # One connection may have broken in the backlog (accept(2)).
+                    if error.errno in ACCEPT_END_ERRNOS:
+                        break
+                    continue
                 task = loop.create_task(self.adopt_socket(accepted))
                 self.accept_tasks.add(task)
                 task.add_done_callback(self.accept_tasks.discard)
