Spend less processor time on a client's request

Change: a response within a turn schedules none, one outside only if input waits; the budget returns early where a connection holds what it held.

--- a/rainfall/forwarder/inbound/client_connection.py
+++ b/rainfall/forwarder/inbound/client_connection.py
@@ -341,12 +341,14 @@
 
     def held_bytes(self) -> int:
         """Return an estimate of the memory of the connection's requests."""
-        others = (self.reader.incomplete_request, self.active_request)
-        return (
-            len(self.unparsed_input)
-            + self._queued_bytes()
-            + sum(request.held_bytes() for request in others if request is not None)
-        )
+        held_bytes = len(self.unparsed_input)
+        if self.reader.incomplete_request is not None:
+            held_bytes += self.reader.incomplete_request.held_bytes()
+        if self.active_request is not None:
+            held_bytes += self.active_request.held_bytes()
+        if self.queued_requests:
+            held_bytes += self._queued_bytes()
+        return held_bytes
 
     def incomplete_since_us(self) -> int | None:
         """Return when its incomplete request began; None if there is none to reject."""
@@ -373,7 +375,7 @@
 
         A turn processes MAX_REQUESTS_PER_TURN at most; the rest waits for the next one.
         """
-        self.turn_scheduled = False
+        self.turn_scheduled = True  # Responses of this turn schedule no other one.
         for _ in range(MAX_REQUESTS_PER_TURN):
             if not self._can_process():
                 break
@@ -381,6 +383,7 @@
             self.server.handle_request(self, self.active_request)
         if self.unparsed_input and not self._is_queue_full():
             self._parse_input()
+        self.turn_scheduled = False
         if self._can_process():
             self._schedule_turn()
         self._update_reading()
@@ -456,8 +459,11 @@
         self.last_used_us = self.server.clock()
         if not keep_open:
             self.finish()
-        elif not self.peer_closed:
-            self._schedule_turn()
+        elif self.queued_requests or self.unparsed_input:
+            if not self.peer_closed:
+                self._schedule_turn()
+        elif not self.turn_scheduled:
+            self.server.input_budget.update(self)
 
     def answer_stalled(self, now: int) -> None:
         """Answer 408 to the incomplete request, and discard all further input.
--- a/rainfall/forwarder/inbound/input_budget.py
+++ b/rainfall/forwarder/inbound/input_budget.py
@@ -60,10 +60,14 @@
 
     def update(self, connection: BufferingConnection) -> None:
         """Count what a connection holds now."""
-        previous = self.by_connection.pop(connection, 0)
+        previous = self.by_connection.get(connection, 0)
         current = connection.held_bytes()
+        if current == previous:
+            return
         if current:
             self.by_connection[connection] = current
+        else:
+            del self.by_connection[connection]
         self.held_bytes += current - previous
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
         self.recent_peak_bytes = max(self.recent_peak_bytes, self.held_bytes)
