Count only the events that were asked for as a client's departure

Cause: peer_has_closed took any event of poll(2) for the peer's end; an event of another kind would have withdrawn a sound client's message. Not seen; a precaution.

Change: POLLRDHUP, POLLHUP and POLLERR alone count.

--- a/rainfall/forwarder/socket_state.py
+++ b/rainfall/forwarder/socket_state.py
@@ -11,6 +11,10 @@
 from contextlib import suppress
 
 
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+"""Events of poll(2) that tell of the peer's end of the connection."""
+
+
 def has_unread_input(transport: asyncio.Transport) -> bool:
     """Whether a transport's socket has input that the event loop has not read yet.
 
@@ -29,7 +33,7 @@
     """
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return any(events & CLOSED_EVENTS for _, events in poll.poll(0))
 
 
 def unread_bytes(transport: asyncio.Transport) -> int | None:
