--- a/rainfall/forwarder/socket_state.py
+++ b/rainfall/forwarder/socket_state.py
@@ -10,7 +10,6 @@
 import termios
 from contextlib import suppress
 
-
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 """Events of poll(2) that tell of the peer's end of the connection."""
 
