Restore the test of keys that wait: its failures came from an orphaned forwarder

Forwarders of runs that were killed or whose test failed lived on (three of them, started at 03:47, 04:04 and 04:37) and asked for the list at the port of their discovery, which was free again; a later test's endpoint got that port and their requests.

Change: the test is as it was before.

--- a/tests/forwarder/test_deployments.py
+++ b/tests/forwarder/test_deployments.py
@@ -15,15 +15,7 @@
 from rainfall.dispatch import Idempotency, IdempotencyScope
 from rainfall.forwarder.config.loading import Config, parse_config
 from tests.forwarder.test_program import configure, play, started_nodes, target
-from tests.support.loopback_peers import (
-    OK,
-    ROOT,
-    Answer,
-    Node,
-    Peer,
-    Platform,
-    Request,
-)
+from tests.support.loopback_peers import OK, ROOT, Answer, Node, Platform, Request
 
 SITES = sorted(path.parent for path in (ROOT / "deploy/sites").glob("*/*.toml"))
 EFFECTS = {
@@ -490,23 +482,10 @@
         release = {n: asyncio.Event() for n in range(len(classes))}
 
         async def hold_first(request: Request) -> Answer:
-            ids = message_ids(request)
-            for name, _, n in (message_id.partition("-") for message_id in ids):
-                if name == "first":
-                    await release[int(n)].wait()
-            if request.path != "/hook/batch":
-                return OK
-            states = [{"id": message_id, "state": "accepted"} for message_id in ids]
-            return Answer(200, body=json.dumps(states).encode())
-
-        async def received_ids(peer: Peer, count: int) -> list[str]:
-            """Wait for this many messages, one by one or in batches, as on a busy machine
-            messages that wait for capacity share a call.
-            """
-            await peer.until(
-                lambda: sum(len(message_ids(r)) for r in peer.requests) >= count
-            )
-            return [name for r in peer.requests for name in message_ids(r)]
+            name, _, n = request.headers["x-correlation-id"].partition("-")
+            if name == "first":
+                await release[int(n)].wait()
+            return OK
 
         peers = [
             await target(
@@ -541,11 +520,16 @@
                         **tenant_header(folder),
                     )
                 )[0] == 202
-            received = await received_ids(peers[n], 6 if c.get("in_order") else 7)
+            received = [
+                r.headers["x-correlation-id"]
+                for r in await peers[n].wait_for_requests(6 if c.get("in_order") else 7)
+            ]
             release[n].set()
             if c.get("in_order"):
                 assert sorted(received[4:]) == [f"first-{n}", f"third-{n}"]
-                assert (await received_ids(peers[n], 7))[6] == f"second-{n}"
+                assert (await peers[n].wait_for_requests(7))[6].headers[
+                    "x-correlation-id"
+                ] == f"second-{n}"
             else:
                 assert sorted(received[4:]) == [
                     f"first-{n}",
