End the forwarders of a test run with it

Change: a forwarder that a test starts is killed by the kernel when its test run ends (prctl(2), PR_SET_PDEATHSIG); the two new tests with several processes end all of them when they fail, too.

--- a/tests/forwarder/test_departed_clients.py
+++ b/tests/forwarder/test_departed_clients.py
@@ -39,6 +39,8 @@
     def __init__(self, folder: Path, platform: Platform, endpoint: Peer) -> None:
         self.platform, self.endpoint = platform, endpoint
         self.node = Node(folder, platform, max_open=500)
+        self.processes = [self.node]
+        """All processes, which end with the scene."""
 
     def received(self) -> list[str]:
         return [r.headers["x-correlation-id"] for r in self.endpoint.requests]
@@ -80,8 +82,9 @@
         try:
             await scene(site)
         finally:
-            if site.node.process.returncode is None:
-                await site.node.end()
+            for node in site.processes:
+                if node.process.returncode is None:
+                    await node.end()
 
     asyncio.run(run())
 
@@ -233,6 +236,7 @@
         client.sendall(message("before", "pay"))
         await site.until_received("before")
         new = await old.start_second_process()
+        site.processes.append(new)
         await new.until_ready()
         ids = ["before", *names("m")]
         with stopped(old):
@@ -246,8 +250,6 @@
         await hand_in_all(new, ids)
         await new.wait_for_metrics(lambda figures: figures["open_requests"] == 0)
         assert len(site.received()) == len(set(site.received())) > 1
-        await old.end()
-        await new.end()
 
     play(scene, tmp_path)
 
--- a/tests/forwarder/test_lost_target.py
+++ b/tests/forwarder/test_lost_target.py
@@ -49,23 +49,26 @@
         platform.host("s", peer.port)
         old = Node(tmp_path, platform)
         old.hold_listener()
-        await old.start()
-        for name in ("first", "second"):
-            status, _ = await old.hand_in(name, "turns", X_Session_Key="k")
-            assert status == 202
-        await peer.wait_for_requests(1)
-        new = await old.start_second_process()
-        await new.until_ready()
-        old.process.send_signal(signal.SIGTERM)
-        await old.until_logged("stopping")
-        await new.end()
-        third = await old.start_second_process()
-        async with asyncio.timeout(PATIENCE):
-            while len(still_open) < 2:
-                await asyncio.sleep(0.01)
-        assert still_open == [False, False]
-        gate.set()
-        await old.end()
-        await third.end()
+        processes = [await old.start()]
+        try:
+            for name in ("first", "second"):
+                status, _ = await old.hand_in(name, "turns", X_Session_Key="k")
+                assert status == 202
+            await peer.wait_for_requests(1)
+            new = await old.start_second_process()
+            processes.append(new)
+            await new.until_ready()
+            old.process.send_signal(signal.SIGTERM)
+            await old.until_logged("stopping")
+            await new.end()
+            processes.append(await old.start_second_process())
+            async with asyncio.timeout(PATIENCE):
+                while len(still_open) < 2:
+                    await asyncio.sleep(0.01)
+            assert still_open == [False, False]
+            gate.set()
+        finally:
+            for node in processes:
+                await node.end()
 
     asyncio.run(scene())
--- a/tests/support/loopback_peers.py
+++ b/tests/support/loopback_peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import copy
+import ctypes
 import json
 import os
 import resource
@@ -210,6 +211,11 @@
         return next(n for n in self.notices if n["id"] == name)
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+"""Linux: prctl(2). A forwarder that outlived its test run would go on asking for the list
+at a port that a later test's endpoint may have.
+"""
 RESERVED_PORTS: deque[socket.socket] = deque(maxlen=200)
 """Bound sockets that do not listen: the kernel gives their ports to nobody else, and a
 process that binds with SO_REUSEADDR, as servers do, may still listen there.
@@ -354,12 +360,14 @@
             env=env,
             stderr=asyncio.subprocess.PIPE,
             pass_fds=fds,
-            preexec_fn=self.set_process_limits if self.process_limits else None,
+            preexec_fn=self.prepare_process,
         )
         self.drain = asyncio.create_task(self.read_log())
         self.ready = asyncio.Event()
 
-    def set_process_limits(self) -> None:
+    def prepare_process(self) -> None:
+        """Let the process end with the test run, and set its limits (after the fork)."""
+        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
         for kind, limit in self.process_limits.items():
             resource.setrlimit(kind, (limit, limit))
 
